--- /dev/null
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -0,0 +1,615 @@
+#include "fleet/entry.hpp"
+
+#include "fleet/clock.hpp"
+#include "fleet/follower.hpp"
+#include "fleet/slice_owner.hpp"
+#include "observe/observe.hpp"
+#include "peernet/peernet.hpp"
+
+#include <asio.hpp>
+#include <csignal>
+#include <random>
+
+namespace pollenvale::fleet {
+
+using observe::Level;
+
+namespace {
+
+constexpr char ClaimTopic[] = "keyed.claims";
+constexpr Milliseconds TickInterval{25};
+/// Copies of entries that own nothing are read in steps of this length.
+constexpr Milliseconds CopySpacing{120};
+constexpr Milliseconds CopyWait{1'000};
+constexpr Milliseconds OwnerSpacing{4};
+constexpr Milliseconds ClaimWait{700};
+constexpr Milliseconds ConfigWait{10'000};
+constexpr Milliseconds WorkerSpacing{250};
+/// Time that a stopping entry keeps answering while the balancer notices.
+constexpr Milliseconds StopLinger{3'500};
+
+struct Address {
+  std::string Host_;
+  std::uint16_t Port_ = 0;
+};
+
+Address splitAddress(const std::string &Text) {
+  std::size_t Colon = Text.rfind(':');
+  return {Text.substr(0, Colon),
+          std::uint16_t(std::stoul(Text.substr(Colon + 1)))};
+}
+
+NodeId makeIncarnation(const std::string &Name) {
+  std::random_device Device;
+  char Text[17];
+  std::snprintf(Text, sizeof Text, "%08x", unsigned(Device()));
+  return Name + "." + Text;
+}
+
+class Entry {
+public:
+  explicit Entry(platform::Boot B)
+      : Boot_(std::move(B)), Timer_(Io_), Signals_(Io_, SIGTERM, SIGHUP),
+        Http_(http::makeClient(Io_)), Client_(Boot_, *Http_) {
+    Claims_.Options_.Self_ = makeIncarnation(Boot_.NodeName_);
+    Claims_.Options_.Address_ =
+        Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
+    Intake_.Store_ = &Client_;
+  }
+
+  void run() {
+    openSockets();
+    followConfig();
+    followClaims();
+    waitForSignal();
+    observe::log(Level::Info, "started",
+                 {{"self", Claims_.Options_.Self_},
+                  {"callers", Boot_.CallerAddress_},
+                  {"store", Boot_.StoreAddress_}});
+    scheduleTick();
+    Io_.run();
+    observe::log(Level::Info, "stopped", Client_.Counters_);
+    std::fflush(nullptr);
+    std::quick_exit(0);
+  }
+
+private:
+  void openSockets() {
+    auto Listen = [this](const Address &A, http::Handler Handle) {
+      return http::startServer(Io_, {A.Host_, A.Port_, 1}, std::move(Handle));
+    };
+    Ready_ = Listen(
+        splitAddress(Boot_.ReadinessAddress_),
+        [this](const http::ServerRequest &R, const http::Responder &Respond) {
+          onReadiness(R, Respond);
+        });
+    Callers_ = Listen(
+        splitAddress(Boot_.CallerAddress_),
+        [this](const http::ServerRequest &R, const http::Responder &Respond) {
+          onCaller(R, Respond);
+        });
+    Peers_ = peernet::openPeerSocket(
+        Claims_.Options_.Address_, [this](std::string Bytes) {
+          asio::post(Io_, [this, Bytes = std::move(Bytes)] { onPeer(Bytes); });
+        });
+  }
+
+  // --- following the store -------------------------------------------------
+
+  std::shared_ptr<Follower> follow(ledger::Tail &Tail,
+                                   ledger::TailOptions Options,
+                                   FollowerEvents Events) {
+    Tail.Options_ = std::move(Options);
+    auto F = std::make_shared<Follower>(Client_, Tail, std::move(Events));
+    F->poll();
+    return F;
+  }
+
+  void followConfig() {
+    Config_ = follow(
+        ConfigTail_, {{platform::OperatorTopic, 0}, ConfigWait, {}},
+        {[this](const ledger::KeyedRecord &R) { onOperator(R); }, {}, [] {}});
+  }
+
+  void followClaims() {
+    ClaimFollower_ = follow(ClaimTail_, {{ClaimTopic, 0}, ClaimWait, {}},
+                            {[this](const ledger::KeyedRecord &R) {
+                               ownership::onRecord(Claims_, R, now());
+                             },
+                             {},
+                             [this] {
+                               ownership::onContact(Claims_, now());
+                               wake();
+                             }});
+  }
+
+  void followPartition(std::uint32_t Number) {
+    auto [It, New] = Intake_.Partitions_.try_emplace(Number);
+    if (!New)
+      return;
+    Partitions_[Number] = follow(
+        It->second.Tail_, {{intake::JobTopic, Number}, CopyWait, CopySpacing},
+        {[this, Number](const ledger::KeyedRecord &R) {
+           onJobRecord(Number, R);
+         },
+         {},
+         [this, Number] {
+           intake::onProgress(Intake_, Number, now());
+           wake();
+         }});
+  }
+
+  void followWorkers() {
+    if (WorkerFollower_)
+      return;
+    WorkerTail_ = {};
+    WorkersLoaded_ = false;
+    WorkerFollower_ = follow(
+        WorkerTail_, {{platform::WorkerTopic, 0}, CopyWait, WorkerSpacing},
+        {[this](const ledger::KeyedRecord &R) { onWorkerRecord(R); },
+         [this](const std::set<std::string> &Keys) { onWorkersLoaded(Keys); },
+         [this] { wake(); }});
+  }
+
+  void onOperator(const ledger::KeyedRecord &R) {
+    if (R.Key_ != platform::ConfigKey || R.Value_.empty())
+      return;
+    auto C = platform::parseCatalog(R.Value_);
+    if (!C) {
+      count(Counters_, "config-unreadable");
+      observe::log(Level::Error, "config-unreadable",
+                   {{"message", C.error().Message_}});
+      return;
+    }
+    if (HasCatalog_ && C.value().Version_ <= Catalog_.Version_)
+      return;
+    Catalog_ = std::move(C.value());
+    HasCatalog_ = true;
+    observe::log(
+        Level::Info, "config-in-force",
+        {{"version", Catalog_.Version_}, {"queues", Catalog_.Queues_.size()}});
+    for (const workflow::Service &S : Catalog_.Services_)
+      followPartition(intake::partitionOf(S.Name_));
+    for (auto &[Slice, Owner] : Owners_)
+      Owner->onCatalog();
+    wake();
+  }
+
+  void onJobRecord(std::uint32_t Number, const ledger::KeyedRecord &R) {
+    intake::PartitionCopy &Copy = Intake_.Partitions_.at(Number);
+    ledger::Change Change = ledger::apply(Copy.Replica_, R);
+    if (Change.Kind_ == ledger::Change::Kind::None)
+      return;
+    for (auto &[Slice, Owner] : Owners_)
+      if (intake::partitionOf(Slice) == Number)
+        Owner->onRecord(Change);
+  }
+
+  void onWorkerRecord(const ledger::KeyedRecord &R) {
+    auto Info = R.Value_.empty() ? std::nullopt
+                                 : platform::parseWorker(R.Key_, R.Value_);
+    if (!Info) {
+      if (!R.Value_.empty())
+        count(Counters_, "worker-unreadable");
+      Workers_.erase(R.Key_);
+      for (auto &[Slice, Owner] : Owners_)
+        Owner->onWorkerGone(R.Key_);
+      return;
+    }
+    Workers_[R.Key_] = *Info;
+    for (auto &[Slice, Owner] : Owners_)
+      Owner->onWorker(*Info);
+  }
+
+  void onWorkersLoaded(const std::set<std::string> &Keys) {
+    WorkersLoaded_ = true;
+    std::vector<WorkerId> Gone;
+    for (const auto &[Id, Info] : Workers_)
+      if (!Keys.count(Id))
+        Gone.push_back(Id);
+    for (const WorkerId &Id : Gone) {
+      Workers_.erase(Id);
+      for (auto &[Slice, Owner] : Owners_)
+        Owner->onWorkerGone(Id);
+    }
+  }
+
+  // --- owning slices -------------------------------------------------------
+
+  std::set<ownership::SliceName> wantedSlices() const {
+    std::set<ownership::SliceName> Out;
+    for (const workflow::Service &S : Catalog_.Services_)
+      Out.insert(S.Name_);
+    return Out;
+  }
+
+  void tickClaims() {
+    std::optional<Offset> End;
+    if (ClaimTail_.Loaded_ && !ClaimTail_.Loading_)
+      End = ClaimTail_.Next_;
+    for (ownership::Write &W :
+         ownership::tick(Claims_, wantedSlices(), End, now()))
+      writeClaim(std::move(W));
+    syncOwners();
+  }
+
+  void writeClaim(ownership::Write W) {
+    ledger::AppendCall Call;
+    Call.To_ = {ClaimTopic, 0};
+    Call.Records_ = {W.Record_};
+    Call.ExpectedEnd_ = W.ExpectedEnd_;
+    TimePoint SentAt = now();
+    Client_.append(std::move(Call),
+                   [this, W, SentAt](const ledger::AppendReply &R) {
+                     ownership::onWritten(Claims_, W, R, SentAt, now());
+                     wake();
+                   });
+  }
+
+  /// Starts owners of new claims and ends those of lost ones.
+  void syncOwners() {
+    for (auto It = Owners_.begin(); It != Owners_.end();) {
+      auto Own = Claims_.Owned_.find(It->first);
+      bool Lost = Own == Claims_.Owned_.end() ||
+                  Own->second.Number_ != OwnerClaims_[It->first];
+      if (It->second->isOver() && !Lost)
+        ownership::drop(Claims_, It->first);
+      if (!Lost && !It->second->isOver()) {
+        ++It;
+        continue;
+      }
+      It->second->stop();
+      observe::log(Level::Info, "slice-left", {{"slice", It->first}});
+      It = Owners_.erase(It);
+    }
+    for (const auto &[Slice, Own] : Claims_.Owned_)
+      if (!Owners_.count(Slice))
+        startOwner(Slice, Own);
+    for (auto &[Number, Copy] : Intake_.Partitions_)
+      Copy.Tail_.Options_.Spacing_ =
+          ownsPartition(Number) ? OwnerSpacing : CopySpacing;
+    if (Owners_.empty() && WorkerFollower_) {
+      WorkerFollower_->stop();
+      WorkerFollower_.reset();
+      Workers_.clear();
+    }
+  }
+
+  bool ownsPartition(std::uint32_t Number) const {
+    for (const auto &[Slice, Owner] : Owners_)
+      if (intake::partitionOf(Slice) == Number)
+        return true;
+    return false;
+  }
+
+  void startOwner(const ownership::SliceName &Slice,
+                  const ownership::Owned &Own) {
+    observe::log(Level::Info, "slice-claimed",
+                 {{"slice", Slice},
+                  {"claim", Own.Number_},
+                  {"generation", Own.Generation_},
+                  {"clean", Own.Clean_}});
+    followWorkers();
+    std::uint32_t Partition = intake::partitionOf(Slice);
+    followPartition(Partition);
+    SliceContext Context;
+    Context.Client_ = &Client_;
+    Context.Catalog_ = &Catalog_;
+    Context.Workers_ = &Workers_;
+    Context.WorkersLoaded_ = &WorkersLoaded_;
+    Context.Partition_ = &Intake_.Partitions_.at(Partition);
+    Context.Ask_ = [this](scheduler::AdviceCall Call) {
+      advice::enqueue(Pool_, std::move(Call), now());
+    };
+    Context.Wake_ = [this] { wake(); };
+    Context.MaxLease_ = Boot_.MaxLease_;
+    OwnerClaims_[Slice] = Own.Number_;
+    Owners_[Slice] = std::make_shared<SliceOwner>(
+        std::move(Context), Slice, Partition, Own, Claims_.Options_.SelfFence_);
+  }
+
+  // --- asking the placement policy -----------------------------------------
+
+  void tickAdvice() {
+    std::vector<std::string> Peers;
+    for (const auto &[Name, Node] : Claims_.Nodes_)
+      if (Node.Node_ != Claims_.Options_.Self_ && !Node.Address_.empty())
+        Peers.push_back(Node.Address_);
+    advice::setPeers(Pool_, Peers);
+    for (const scheduler::AdviceCall &Call : advice::expire(Pool_, now()))
+      deliverAdvice(Call, {});
+    for (const advice::Dispatch &D : advice::dispatch(Pool_, now()))
+      sendAdvice(D);
+  }
+
+  void sendAdvice(const advice::Dispatch &D) {
+    std::string Step = workflow::toString(D.Call_.Step_);
+    if (D.Helper_.empty()) {
+      askPolicy(Step, D.Call_.Workers_,
+                [this, Id = D.Id_](const scheduler::AdviceReply &R) {
+                  onAdvice(Id, R);
+                });
+      return;
+    }
+    advice::AskMessage M{D.Id_, Claims_.Options_.Address_, Step,
+                         D.Call_.Workers_};
+    if (!Peers_->send(D.Helper_, advice::encode(M)))
+      count(Counters_, "peer-frame-dropped");
+  }
+
+  void askPolicy(const std::string &Step, const std::vector<WorkerId> &Workers,
+                 std::function<void(scheduler::AdviceReply)> Done) {
+    constexpr Milliseconds PolicyTimeout{2'500};
+    Client_.advise(Step, Workers, PolicyTimeout, std::move(Done));
+  }
+
+  void onAdvice(CallId Id, const scheduler::AdviceReply &Reply) {
+    if (auto Call = advice::finish(Pool_, Id, Reply.Answered_, now()))
+      deliverAdvice(*Call, Reply);
+    wake();
+  }
+
+  void deliverAdvice(const scheduler::AdviceCall &Call,
+                     const scheduler::AdviceReply &Reply) {
+    for (auto &[Slice, Owner] : Owners_)
+      Owner->onAdvice(Call, Reply);
+  }
+
+  void onPeer(const std::string &Bytes) {
+    advice::Message M = advice::decode(Bytes);
+    if (auto *Ask = std::get_if<advice::AskMessage>(&M)) {
+      answerPeer(*Ask);
+    } else if (auto *Tell = std::get_if<advice::TellMessage>(&M)) {
+      scheduler::AdviceReply Reply{
+          Tell->Answered_, {}, Milliseconds(Tell->ValidityMs_)};
+      for (const advice::PermitText &Row : Tell->Rows_)
+        Reply.Rows_.push_back({Row.Worker_, Row.Permit_});
+      onAdvice(Tell->Id_, Reply);
+    } else {
+      count(Counters_, "peer-frame-unreadable");
+    }
+  }
+
+  void answerPeer(const advice::AskMessage &Ask) {
+    askPolicy(Ask.Step_, Ask.Workers_,
+              [this, Id = Ask.Id_,
+               To = Ask.ReplyTo_](const scheduler::AdviceReply &R) {
+                advice::TellMessage M{
+                    Id, R.Answered_, {}, std::uint32_t(R.Validity_.count())};
+                for (const scheduler::PermitRow &Row : R.Rows_)
+                  M.Rows_.push_back({Row.Worker_, Row.Permit_});
+                if (!Peers_->send(To, advice::encode(M)))
+                  count(Counters_, "peer-frame-dropped");
+              });
+  }
+
+  // --- callers --------------------------------------------------------------
+
+  void onReadiness(const http::ServerRequest &R,
+                   const http::Responder &Respond) {
+    if (R.Path_ == "/metrics") {
+      http::ServerReply Reply{200, metrics()};
+      Reply.ContentType_ = "text/plain";
+      return Respond(std::move(Reply));
+    }
+    bool Ready = !Stopping_ && HasCatalog_ && copiesLoaded() &&
+                 intake::isStoreReachable(Intake_, now());
+    Respond({Ready ? 200 : 503, Ready ? "{}" : R"({"error":"not ready"})"});
+  }
+
+  std::string metrics() const {
+    Counters All = Counters_;
+    for (const Counters *Part : {&Client_.Counters_, &Intake_.Counters_})
+      All.insert(Part->begin(), Part->end());
+    for (const auto &[Slice, Owner] : Owners_)
+      for (const auto &[Name, Value] : Owner->counters())
+        All[Name] += Value;
+    return observe::expose(All);
+  }
+
+  bool copiesLoaded() const {
+    for (const auto &[Number, Copy] : Intake_.Partitions_)
+      if (!Copy.Tail_.Loaded_)
+        return false;
+    return true;
+  }
+
+  void onCaller(const http::ServerRequest &R, const http::Responder &Plain) {
+    http::Responder Respond = [this, Plain](http::ServerReply Reply) {
+      count(Counters_, "answer-" + std::to_string(Reply.Code_));
+      Reply.Close_ = Stopping_;
+      LastCallerAt_ = now();
+      Plain(std::move(Reply));
+    };
+    platform::CallerRequest Call = platform::parseCaller(R);
+    if (!HasCatalog_ || !copiesLoaded())
+      return Respond(platform::errorReply(
+          makeError(ErrorKind::NoConfig, "no configuration yet")));
+    const workflow::Queue *Q =
+        workflow::findQueue(Catalog_, Call.Host_, Call.Path_);
+    if (!Q)
+      return Respond(platform::errorReply(
+          makeError(ErrorKind::UnknownPath, Call.Path_ + ": no such queue")));
+    if (R.Body_.size() > Catalog_.MaxBodyBytes_)
+      return Respond(platform::errorReply(
+          makeError(ErrorKind::BodyTooLarge,
+                    "body: " + std::to_string(R.Body_.size()) + " bytes")));
+    auto Job = platform::jobIdAfter(Call.Path_, Q->PathPrefix_);
+    serve(Call, *Q, Job, R.Body_, Respond);
+  }
+
+  void serve(const platform::CallerRequest &Call, const workflow::Queue &Q,
+             const std::optional<JobId> &Job, const std::string &Body,
+             const http::Responder &Respond) {
+    using platform::CallerVerb;
+    intake::Times T{now(), nowUnixMs(), Call.Deadline_};
+    auto Answer = [Respond](const intake::Answer &A) { Respond(toReply(A)); };
+    if (Call.Verb_ == CallerVerb::Unsupported)
+      return Respond(platform::errorReply(
+          makeError(ErrorKind::WrongMethod, "method not supported")));
+    if (!Job && Call.Verb_ == CallerVerb::State &&
+        Call.Path_.size() <= Q.PathPrefix_.size())
+      return Respond(platform::pendingReply(intake::pending(Intake_, Q)));
+    if (!Job)
+      return Respond(platform::errorReply(
+          makeError(ErrorKind::UnknownPath, Call.Path_ + ": not a job id")));
+    if (Call.Verb_ == CallerVerb::State)
+      return intake::askState(Intake_, Q, *Job, T, Answer);
+    if (Call.Verb_ == CallerVerb::Cancel)
+      return intake::cancel(Intake_, Q, *Job, T, Answer);
+    auto Spec = platform::parseWorkflow(Body);
+    if (!Spec)
+      return Respond(platform::errorReply(Spec.error()));
+    intake::submit(Intake_, Q, *Job, std::move(Spec.value()), T, Answer);
+  }
+
+  static http::ServerReply toReply(const intake::Answer &A) {
+    switch (A.Outcome_) {
+    case intake::Outcome::Stored:
+      return {200, "{}"};
+    case intake::Outcome::State:
+      return platform::stateReply(A.State_);
+    case intake::Outcome::Unknown:
+      return platform::goneReply();
+    case intake::Outcome::Rejected:
+      break;
+    }
+    return platform::errorReply(A.Error_);
+  }
+
+  // --- event loop ------------------------------------------------------------
+
+  void wake() {
+    if (TurnPosted_)
+      return;
+    TurnPosted_ = true;
+    asio::post(Io_, [this] {
+      TurnPosted_ = false;
+      turn();
+    });
+  }
+
+  void turn() {
+    bool MayOrder = ownership::mayOrder(Claims_, now());
+    for (auto &[Slice, Owner] : Owners_)
+      Owner->turn(MayOrder);
+    tickAdvice();
+  }
+
+  void scheduleTick() {
+    Timer_.expires_after(TickInterval);
+    Timer_.async_wait([this](std::error_code Err) {
+      if (Err)
+        return;
+      tickClaims();
+      intake::tick(Intake_, now());
+      for (auto &F : {Config_, ClaimFollower_, WorkerFollower_})
+        if (F)
+          F->poll();
+      for (auto &[Number, F] : Partitions_)
+        F->poll();
+      turn();
+      if (!isStopped())
+        scheduleTick();
+      else
+        Io_.stop();
+    });
+  }
+
+  // --- signals ---------------------------------------------------------------
+
+  void waitForSignal() {
+    Signals_.async_wait([this](std::error_code Err, int Signal) {
+      if (Err)
+        return;
+      if (Signal == SIGHUP)
+        reload();
+      else
+        beginStop();
+      waitForSignal();
+    });
+  }
+
+  void reload() {
+    auto B = platform::loadBoot(BootFile_);
+    observe::log(B ? Level::Info : Level::Error, "settings-read",
+                 {{"message", B ? "" : B.error().Message_}});
+  }
+
+  void beginStop() {
+    if (Stopping_)
+      return;
+    Stopping_ = true;
+    StoppingSince_ = now();
+    LastCallerAt_ = now();
+    Claims_.Stopping_ = true;
+    observe::log(Level::Info, "stopping", {{"slices", Owners_.size()}});
+    tickClaims();
+  }
+
+  bool isStopped() const {
+    if (!Stopping_ || now() - StoppingSince_ < StopLinger)
+      return false;
+    bool Idle = Intake_.InFlight_ == 0 && Intake_.Waiters_.empty() &&
+                Callers_->unwritten() == 0;
+    constexpr Milliseconds LastMoment{700};
+    return Idle || now() - StoppingSince_ > Boot_.StopGrace_ - LastMoment;
+  }
+
+public:
+  std::string BootFile_;
+
+private:
+  platform::Boot Boot_;
+  asio::io_context Io_{1};
+  asio::steady_timer Timer_;
+  asio::signal_set Signals_;
+  std::unique_ptr<http::Client> Http_;
+  platform::Client Client_;
+  std::unique_ptr<http::Server> Ready_;
+  std::unique_ptr<http::Server> Callers_;
+  std::unique_ptr<peernet::PeerSocket> Peers_;
+
+  workflow::Catalog Catalog_;
+  bool HasCatalog_ = false;
+  ledger::Tail ConfigTail_, ClaimTail_, WorkerTail_;
+  std::shared_ptr<Follower> Config_, ClaimFollower_, WorkerFollower_;
+  std::map<std::uint32_t, std::shared_ptr<Follower>> Partitions_;
+  intake::Intake Intake_;
+  std::map<WorkerId, scheduler::WorkerInfo> Workers_;
+  bool WorkersLoaded_ = false;
+
+  ownership::State Claims_;
+  std::map<ownership::SliceName, std::shared_ptr<SliceOwner>> Owners_;
+  std::map<ownership::SliceName, ownership::ClaimNumber> OwnerClaims_;
+  advice::Pool Pool_;
+
+  Counters Counters_;
+  bool TurnPosted_ = false;
+  bool Stopping_ = false;
+  TimePoint StoppingSince_{};
+  TimePoint LastCallerAt_{};
+};
+
+} // namespace
+
+int runEntry(const char *BootFile) {
+  auto B = platform::loadBoot(BootFile);
+  if (!B) {
+    std::fprintf(stderr, "%s\n", B.error().Message_.c_str());
+    constexpr int BadUsage = 2;
+    return BadUsage;
+  }
+  observe::startLogging(B.value().NodeName_, "info");
+  try {
+    Entry E(B.value());
+    E.BootFile_ = BootFile;
+    E.run();
+  } catch (const std::exception &E) {
+    observe::log(Level::Error, "failed", {{"message", E.what()}});
+    return 1;
+  }
+  return 0;
+}
+
+} // namespace pollenvale::fleet
--- /dev/null
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -0,0 +1,54 @@
+#include "fleet/follower.hpp"
+
+#include "fleet/clock.hpp"
+
+namespace pollenvale::fleet {
+
+using ledger::TailStep;
+
+void Follower::poll() {
+  if (Stopped_)
+    return;
+  TailStep Step = ledger::nextStep(Tail_, now());
+  if (Step == TailStep::Idle)
+    return;
+  ledger::onSent(Tail_, now());
+  auto Self = shared_from_this();
+  if (Step == TailStep::Newest) {
+    Store_.newest(Tail_.Options_.From_, Tail_.PageAfter_,
+                  [Self](const ledger::NewestReply &R) { Self->onNewest(R); });
+    return;
+  }
+  ledger::ReadCall Call{Tail_.Options_.From_, Tail_.Next_,
+                        Tail_.Options_.Wait_};
+  Store_.read(Call, [Self](const ledger::ReadReply &R) { Self->onRead(R); });
+}
+
+void Follower::onNewest(const ledger::NewestReply &Reply) {
+  if (Stopped_)
+    return;
+  if (Tail_.PageAfter_.empty())
+    LoadedKeys_.clear();
+  for (const ledger::KeyedRecord &R : Reply.Records_) {
+    LoadedKeys_.insert(R.Key_);
+    Events_.OnRecord_(R);
+  }
+  if (ledger::onNewest(Tail_, Reply, now()) && Events_.OnLoaded_)
+    Events_.OnLoaded_(LoadedKeys_);
+  if (Tail_.Reachable_)
+    Events_.OnAnswer_();
+  poll();
+}
+
+void Follower::onRead(const ledger::ReadReply &Reply) {
+  if (Stopped_)
+    return;
+  for (const ledger::KeyedRecord &R : Reply.Records_)
+    Events_.OnRecord_(R);
+  ledger::onRead(Tail_, Reply, now());
+  if (Tail_.Reachable_)
+    Events_.OnAnswer_();
+  poll();
+}
+
+} // namespace pollenvale::fleet
--- /dev/null
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -0,0 +1,272 @@
+#include "fleet/slice_owner.hpp"
+
+#include "fleet/clock.hpp"
+#include "observe/observe.hpp"
+
+namespace pollenvale::fleet {
+
+using ledger::StoreStatus;
+using observe::Level;
+
+namespace {
+
+constexpr Milliseconds FenceRetryInterval{200};
+constexpr Milliseconds RewriteInterval{200};
+constexpr Milliseconds Lease{5'000};
+constexpr Milliseconds LeaseMargin{400};
+
+} // namespace
+
+SliceOwner::SliceOwner(SliceContext Context, ownership::SliceName Slice,
+                       std::uint32_t Partition, ownership::Owned Claim,
+                       Milliseconds SelfFence)
+    : Context_(std::move(Context)), Slice_(std::move(Slice)),
+      Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence) {}
+
+void SliceOwner::lose(const char *Reason) {
+  if (Stage_ == Stage::Over)
+    return;
+  Stage_ = Stage::Over;
+  observe::log(
+      Level::Warning, "slice-lost",
+      {{"slice", Slice_}, {"claim", Claim_.Number_}, {"reason", Reason}});
+}
+
+void SliceOwner::sendFence() {
+  if (FenceInFlight_ || now() < FenceDueAt_)
+    return;
+  FenceInFlight_ = true;
+  ledger::AppendCall Call;
+  Call.To_ = {intake::JobTopic, Partition_};
+  Call.Fence_ = ledger::Fence{Slice_, Claim_.Number_, 0};
+  Context_.Client_->append(std::move(Call), [Self = shared_from_this()](
+                                                const ledger::AppendReply &R) {
+    Self->FenceInFlight_ = false;
+    if (Self->Stage_ != Stage::Fencing)
+      return;
+    if (R.Status_ == StoreStatus::Fenced)
+      return Self->lose("fenced");
+    if (R.Status_ != StoreStatus::Done) {
+      Self->FenceDueAt_ = now() + FenceRetryInterval;
+      return;
+    }
+    Self->Stage_ = Stage::CatchingUp;
+    Self->FencedAt_ = now();
+    Self->Context_.Wake_();
+  });
+}
+
+bool SliceOwner::isMine(const JobId &Job) const {
+  const auto &Jobs = Context_.Partition_->Replica_.Jobs_;
+  auto It = Jobs.find(Job);
+  return It != Jobs.end() && It->second.Accepted_.Queue_.Service_ == Slice_;
+}
+
+void SliceOwner::begin() {
+  const ledger::Replica &Copy = Context_.Partition_->Replica_;
+  scheduler::Options O;
+  O.Slice_ = Slice_;
+  O.Token_ = Claim_.Number_;
+  O.Generation_ = Claim_.Generation_;
+  O.ClaimedAt_ = Claim_.ClaimedAt_;
+  O.Lease_ = Lease;
+  O.MaxLease_ = Context_.MaxLease_;
+  // Until then an owner cut off from the store may have given leases.
+  Milliseconds Longest = Lease + LeaseMargin;
+  if (!Claim_.Clean_)
+    Longest += SelfFence_;
+  O.InheritedLeasesEndAt_ = Claim_.ClaimedAt_ + Longest;
+  State_ = scheduler::makeState(std::move(O), *Context_.Catalog_, Copy.Roster_);
+  for (const auto &[Id, Info] : *Context_.Workers_)
+    if (Info.Service_ == Slice_)
+      scheduler::onWorker(State_, Info, now());
+  std::size_t Jobs = 0;
+  for (const auto &[Id, Row] : Copy.Jobs_)
+    if (isMine(Id)) {
+      scheduler::onJob(State_, Id, Row, true, now(), nowUnixMs());
+      ++Jobs;
+    }
+  Stage_ = Stage::Running;
+  observe::log(Level::Info, "slice-owned",
+               {{"slice", Slice_},
+                {"claim", Claim_.Number_},
+                {"generation", Claim_.Generation_},
+                {"clean", Claim_.Clean_},
+                {"after_ms", elapsed(Claim_.ClaimedAt_, now()).count()},
+                {"jobs", Jobs},
+                {"workers", State_.Workers_.size()},
+                {"unaccounted", State_.Unaccounted_.size()}});
+}
+
+void SliceOwner::turn(bool MayOrder) {
+  if (Stage_ == Stage::Fencing)
+    sendFence();
+  if (Stage_ == Stage::CatchingUp &&
+      Context_.Partition_->Tail_.CurrentAt_ > FencedAt_ &&
+      *Context_.WorkersLoaded_)
+    begin();
+  if (Stage_ != Stage::Running || !MayOrder)
+    return;
+  if (Rewrite_ && now() >= *RewriteAt_) {
+    auto Call = std::move(Rewrite_);
+    Rewrite_.reset();
+    send(std::move(Call));
+  }
+  scheduler::Outbox Out;
+  scheduler::tick(State_, now(), nowUnixMs(), Out);
+  perform(Out);
+  if (State_.Fenced_)
+    lose("a worker has seen a higher token");
+}
+
+TimePoint SliceOwner::nextDue() const {
+  if (Stage_ == Stage::Running)
+    return scheduler::nextDue(State_, now());
+  return now() + Milliseconds(20);
+}
+
+void SliceOwner::onRecord(const ledger::Change &Change) {
+  if (Stage_ != Stage::Running)
+    return;
+  using Kind = ledger::Change::Kind;
+  if (Change.Kind_ == Kind::Accepted && isMine(Change.Job_)) {
+    const ledger::JobRow &Row =
+        Context_.Partition_->Replica_.Jobs_.at(Change.Job_);
+    scheduler::onJob(State_, Change.Job_, Row, false, now(), nowUnixMs());
+    observe::log(Level::Info, "job-taken",
+                 {{"job", Change.Job_},
+                  {"queue", Row.Accepted_.Queue_.Name_},
+                  {"steps", Row.Accepted_.Spec_.Steps_.size()}});
+  } else if (Change.Kind_ == Kind::Cancelled) {
+    scheduler::onCancel(State_, Change.Job_, now());
+  }
+  Context_.Wake_();
+}
+
+void SliceOwner::onWorker(const scheduler::WorkerInfo &Info) {
+  if (Stage_ == Stage::Running && Info.Service_ == Slice_)
+    scheduler::onWorker(State_, Info, now());
+  else if (Stage_ == Stage::Running)
+    scheduler::onWorkerGone(State_, Info.Id_, now());
+}
+
+void SliceOwner::onWorkerGone(const WorkerId &Id) {
+  if (Stage_ == Stage::Running)
+    scheduler::onWorkerGone(State_, Id, now());
+}
+
+void SliceOwner::onCatalog() {
+  if (Stage_ == Stage::Running)
+    scheduler::onCatalog(State_, *Context_.Catalog_);
+}
+
+void SliceOwner::onAdvice(const scheduler::AdviceCall &Call,
+                          const scheduler::AdviceReply &Reply) {
+  if (Stage_ == Stage::Running)
+    scheduler::onAdvice(State_, Call, Reply, now());
+  Context_.Wake_();
+}
+
+void SliceOwner::perform(scheduler::Outbox &Out) {
+  for (scheduler::StopCall &Call : Out.Stops_)
+    send(std::move(Call));
+  for (scheduler::StartCall &Call : Out.Starts_)
+    send(std::move(Call));
+  for (scheduler::PaceCall &Call : Out.Paces_)
+    send(std::move(Call));
+  for (scheduler::HoldCall &Call : Out.Holds_)
+    send(std::move(Call));
+  for (scheduler::AdviceCall &Call : Out.Advice_)
+    Context_.Ask_(std::move(Call));
+  for (scheduler::WriteCall &Call : Out.Writes_)
+    send(std::make_shared<scheduler::WriteCall>(std::move(Call)));
+  for (const scheduler::Note &N : Out.Notes_)
+    observe::log(Level::Info, N.Event_, N.Fields_);
+}
+
+void SliceOwner::send(scheduler::HoldCall Call) {
+  TimePoint SentAt = now();
+  Context_.Client_->hold(Call, [Self = shared_from_this(), Call,
+                                SentAt](const scheduler::HoldReply &R) {
+    if (Self->Stage_ != Stage::Running)
+      return;
+    scheduler::Outbox Out;
+    scheduler::onHold(Self->State_, Call, R, SentAt, now(), Out);
+    Self->perform(Out);
+    Self->Context_.Wake_();
+  });
+}
+
+void SliceOwner::send(scheduler::StartCall Call) {
+  Context_.Client_->start(
+      Call, [Self = shared_from_this(), Call](const scheduler::OrderReply &R) {
+        if (Self->Stage_ != Stage::Running)
+          return;
+        scheduler::Outbox Out;
+        scheduler::onStart(Self->State_, Call, R, now(), Out);
+        Self->perform(Out);
+        Self->Context_.Wake_();
+      });
+}
+
+void SliceOwner::send(scheduler::StopCall Call) {
+  Context_.Client_->stop(
+      Call, [Self = shared_from_this(), Call](const scheduler::OrderReply &R) {
+        if (Self->Stage_ != Stage::Running)
+          return;
+        scheduler::onStop(Self->State_, Call, R, now());
+        Self->Context_.Wake_();
+      });
+}
+
+void SliceOwner::send(scheduler::PaceCall Call) {
+  Context_.Client_->pace(
+      Call, [Self = shared_from_this(), Call](const scheduler::OrderReply &R) {
+        if (Self->Stage_ == Stage::Running)
+          scheduler::onPace(Self->State_, Call, R);
+      });
+}
+
+void SliceOwner::send(std::shared_ptr<scheduler::WriteCall> Call) {
+  ledger::AppendCall Append;
+  Append.To_ = {intake::JobTopic, Partition_};
+  Append.Records_ = Call->Records_;
+  Append.Fence_ = ledger::Fence{Slice_, Claim_.Number_, NextSequence_};
+  Context_.Client_->append(
+      std::move(Append),
+      [Self = shared_from_this(), Call](const ledger::AppendReply &R) {
+        if (Self->Stage_ == Stage::Running)
+          Self->onWritten(Call, R);
+      });
+}
+
+void SliceOwner::onWritten(const std::shared_ptr<scheduler::WriteCall> &Call,
+                           const ledger::AppendReply &Reply) {
+  switch (Reply.Status_) {
+  case StoreStatus::Done:
+    ++NextSequence_;
+    scheduler::onWrite(State_, Call->Id_, true, now());
+    break;
+  case StoreStatus::Fenced:
+    return lose("a higher claim writes");
+  case StoreStatus::OutOfSequence:
+    observe::log(Level::Warning, "write-out-of-sequence",
+                 {{"slice", Slice_},
+                  {"sent", NextSequence_},
+                  {"expected", Reply.ExpectedSequence_}});
+    // A higher number than sent means that the append was stored.
+    NextSequence_ = Reply.ExpectedSequence_;
+    scheduler::onWrite(State_, Call->Id_, false, now());
+    break;
+  case StoreStatus::NotDone:
+    scheduler::onWrite(State_, Call->Id_, false, now());
+    break;
+  default:
+    // It may be stored: only the same records under the same number may follow.
+    Rewrite_ = Call;
+    RewriteAt_ = now() + RewriteInterval;
+  }
+  Context_.Wake_();
+}
+
+} // namespace pollenvale::fleet
--- /dev/null
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// One slice that this entry owns: from the claim over the fence and the
+/// catching up to the scheduler's calls.
+#pragma once
+
+#include "advice/advice.hpp"
+#include "intake/intake.hpp"
+#include "ownership/ownership.hpp"
+#include "platform/adapter.hpp"
+
+namespace pollenvale::fleet {
+
+/// What a slice needs of the entry around it.
+struct SliceContext {
+  platform::Client *Client_ = nullptr;
+  const workflow::Catalog *Catalog_ = nullptr;
+  const std::map<WorkerId, scheduler::WorkerInfo> *Workers_ = nullptr;
+  const bool *WorkersLoaded_ = nullptr;
+  intake::PartitionCopy *Partition_ = nullptr;
+  std::function<void(scheduler::AdviceCall)> Ask_;
+  std::function<void()> Wake_; ///< Asks for a turn of the event loop.
+  Milliseconds MaxLease_{10'000};
+};
+
+class SliceOwner : public std::enable_shared_from_this<SliceOwner> {
+public:
+  SliceOwner(SliceContext Context, ownership::SliceName Slice,
+             std::uint32_t Partition, ownership::Owned Claim,
+             Milliseconds SelfFence);
+
+  /// Makes every call that is due. \p MayOrder: the claim is fresh enough.
+  void turn(bool MayOrder);
+  void onRecord(const ledger::Change &Change);
+  void onWorker(const scheduler::WorkerInfo &Info);
+  void onWorkerGone(const WorkerId &Id);
+  void onCatalog();
+  void onAdvice(const scheduler::AdviceCall &Call,
+                const scheduler::AdviceReply &Reply);
+  /// No further order is sent; answers still to come are left out.
+  void stop() { Stage_ = Stage::Over; }
+  /// The claim has been superseded.
+  bool isOver() const { return Stage_ == Stage::Over; }
+  TimePoint nextDue() const;
+  const Counters &counters() const { return State_.Counters_; }
+
+private:
+  enum class Stage { Fencing, CatchingUp, Running, Over };
+
+  void sendFence();
+  void begin();
+  void perform(scheduler::Outbox &Out);
+  void send(scheduler::HoldCall Call);
+  void send(scheduler::StartCall Call);
+  void send(scheduler::StopCall Call);
+  void send(scheduler::PaceCall Call);
+  void send(std::shared_ptr<scheduler::WriteCall> Call);
+  void onWritten(const std::shared_ptr<scheduler::WriteCall> &Call,
+                 const ledger::AppendReply &Reply);
+  void lose(const char *Reason);
+  bool isMine(const JobId &Job) const;
+
+  SliceContext Context_;
+  ownership::SliceName Slice_;
+  std::uint32_t Partition_;
+  ownership::Owned Claim_;
+  Milliseconds SelfFence_;
+  Stage Stage_ = Stage::Fencing;
+  bool FenceInFlight_ = false;
+  TimePoint FenceDueAt_{};
+  TimePoint FencedAt_{};
+  std::uint64_t NextSequence_ = 1;
+  std::optional<TimePoint> RewriteAt_;
+  std::shared_ptr<scheduler::WriteCall> Rewrite_;
+  scheduler::State State_;
+};
+
+} // namespace pollenvale::fleet
--- a/apps/pollenvale/main.cpp
+++ b/apps/pollenvale/main.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// The scheduler process of one entry VM.
+#include "fleet/entry.hpp"
 #include "observe/observe.hpp"
+#include "platform/boot.hpp"
 #include "runtime.hpp"
 
 #include <cstdio>
@@ -16,16 +18,21 @@
   std::string SettingsFile_;
   bool CheckOnly_ = false;
   bool Version_ = false;
+  bool Platform_ = false;
 };
 
 bool parseArguments(int Count, const char **Values, Arguments &Out) {
   char *File = nullptr;
-  int Check = 0, Version = 0;
+  int Check = 0, Version = 0, Platform = 0;
   const poptOption Options[] = {{"settings", 's', POPT_ARG_STRING, &File, 0,
                                  "settings file (YAML)", "FILE"},
                                 {"check-settings", 'c', POPT_ARG_NONE, &Check,
                                  0, "check the settings file and exit",
                                  nullptr},
+                                {"platform", 'p', POPT_ARG_NONE, &Platform, 0,
+                                 "run on the users' platform; the settings "
+                                 "file is named by POLLENVALE_BOOT",
+                                 nullptr},
                                 {"version", 'V', POPT_ARG_NONE, &Version, 0,
                                  "print the version", nullptr},
                                 POPT_AUTOHELP POPT_TABLEEND};
@@ -44,9 +51,25 @@
   std::free(File);
   Out.CheckOnly_ = Check != 0;
   Out.Version_ = Version != 0;
+  Out.Platform_ = Platform != 0;
   return Code >= -1 && !Extra;
 }
 
+int runOnPlatform(const Arguments &Args) {
+  const char *File = std::getenv(platform::BootVariable);
+  if (!Args.SettingsFile_.empty())
+    File = Args.SettingsFile_.c_str();
+  if (!File) {
+    std::fprintf(stderr, "pollenvale: %s is not set\n", platform::BootVariable);
+    return BadUsage;
+  }
+  if (!Args.CheckOnly_)
+    return fleet::runEntry(File);
+  auto Boot = platform::loadBoot(File);
+  std::puts(Boot ? "settings are valid" : Boot.error().Message_.c_str());
+  return Boot ? Good : BadUsage;
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -57,6 +80,8 @@
     std::puts("pollenvale " POLLENVALE_VERSION);
     return Good;
   }
+  if (Args.Platform_)
+    return runOnPlatform(Args);
   if (Args.SettingsFile_.empty()) {
     std::fputs("pollenvale: --settings FILE is needed; see --help\n", stderr);
     return BadUsage;
--- a/apps/pollenvale/runtime.cpp
+++ b/apps/pollenvale/runtime.cpp
@@ -3,7 +3,7 @@
 #include "http/http.hpp"
 #include "observe/observe.hpp"
 #include "peernet/peernet.hpp"
-#include "platform/platform.hpp"
+#include "standin_wire/standin_wire.hpp"
 
 #include <asio.hpp>
 #include <csignal>
@@ -288,12 +288,12 @@
 
   void callWorker(const peering::WorkerCall &Call) {
     http::ClientCall C;
-    C.Url_ = "http://" + Call.Address_ + platform::pathOf(Call.Op_);
-    C.Body_ = platform::toJson(Call).dump();
+    C.Url_ = "http://" + Call.Address_ + standin_wire::pathOf(Call.Op_);
+    C.Body_ = standin_wire::toJson(Call).dump();
     C.Timeout_ = WorkerTimeout;
     submit(std::move(C), [this, Call](http::ClientReply R, Outbox &Out) {
       peering::WorkerReply Reply =
-          platform::parseWorkerReply(Call, R.Code_, R.Body_);
+          standin_wire::parseWorkerReply(Call, R.Code_, R.Body_);
       if (R.Status_ == http::ClientStatus::NotSent)
         Reply.Status_ = peering::CallStatus::Unreachable;
       else if (R.Status_ != http::ClientStatus::Answered)
@@ -341,7 +341,7 @@
   void callAppend(const eventlog::AppendCall &Call) {
     http::ClientCall C;
     C.Url_ = Settings_.LogUrl_ + "/append";
-    C.Body_ = platform::toJson(Call.Records_).dump();
+    C.Body_ = standin_wire::toJson(Call.Records_).dump();
     C.Timeout_ = LogTimeout;
     submit(std::move(C),
            [this, Id = Call.Call_](http::ClientReply R, Outbox &Out) {
@@ -369,7 +369,7 @@
            [this, Id = Call.Call_](http::ClientReply R, Outbox &Out) {
              eventlog::ReadReply Reply;
              if (R.Status_ == http::ClientStatus::Answered && R.Code_ == 200)
-               if (auto Parsed = platform::parseReadReply(R.Body_))
+               if (auto Parsed = standin_wire::parseReadReply(R.Body_))
                  Reply = std::move(Parsed.value());
              node::onRead(Node_, now(), Id, std::move(Reply), Out);
            });
@@ -384,7 +384,7 @@
       membership::VmList List;
       bool Ok = false;
       if (R.Status_ == http::ClientStatus::Answered && R.Code_ == 200)
-        if (auto Parsed = platform::parseVmList(R.Body_)) {
+        if (auto Parsed = standin_wire::parseVmList(R.Body_)) {
           List = std::move(Parsed.value());
           Ok = true;
         }
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -4,7 +4,7 @@
 #include "harness/log_model.hpp"
 #include "harness/worker_model.hpp"
 #include "node/node.hpp"
-#include "platform/platform.hpp"
+#include "standin_wire/standin_wire.hpp"
 
 #include <cstdio>
 #include <ctime>
@@ -34,7 +34,7 @@
 
 void answerWorker(Holder &H, const peering::WorkerCall &Call,
                   peering::Outbox &Out) {
-  std::string Body = platform::toJson(Call).dump();
+  std::string Body = standin_wire::toJson(Call).dump();
   double Before = cpuSeconds();
   auto Reply = harness::handle(H.Workers_.at(Call.Worker_), Now, Call);
   std::string Text = harness::toJson(Reply).dump();
@@ -43,7 +43,7 @@
   ++H.WorkerCalls_;
   node::onWorkerReply(
       H.Node_, Now,
-      platform::parseWorkerReply(
+      standin_wire::parseWorkerReply(
           Call, Reply.Status_ == peering::CallStatus::Ok ? 200 : 409, Text),
       Out);
 }
--- /dev/null
+++ b/packages/advice/detail/pool.hpp
@@ -0,0 +1,52 @@
+/// \file
+/// Which entry asks the policy next, and what waits for one.
+#pragma once
+
+#include "advice/detail/messages.hpp"
+
+#include <map>
+
+namespace pollenvale::advice {
+
+using scheduler::AdviceCall;
+
+/// An entry that asks for us. This entry itself has an empty address.
+struct Helper {
+  Milliseconds Backlog_{0}; ///< Expected time of its calls in flight.
+  unsigned InFlight_ = 0;
+  TimePoint AvoidUntil_{};
+};
+
+struct Pending {
+  AdviceCall Call_;
+  TimePoint QueuedAt_{};
+  std::string Helper_;
+  TimePoint GiveUpAt_{};
+};
+
+struct Pool {
+  std::map<std::string, Helper> Helpers_ = {{"", Helper{}}};
+  std::map<CallId, Pending> InFlight_;
+  std::vector<Pending> Queue_;
+  CallId NextId_ = 1;
+};
+
+/// A call to make now by the entry at Helper_.
+struct Dispatch {
+  CallId Id_ = 0;
+  std::string Helper_;
+  AdviceCall Call_;
+};
+
+/// Replaces the other entries that may be asked.
+void setPeers(Pool &P, const std::vector<std::string> &Addresses);
+void enqueue(Pool &P, AdviceCall Call, TimePoint Now);
+/// Calls to make now, the most urgent first.
+std::vector<Dispatch> dispatch(Pool &P, TimePoint Now);
+/// The call that \p Id names; empty when it was given up already.
+std::optional<AdviceCall> finish(Pool &P, CallId Id, bool Answered,
+                                 TimePoint Now);
+/// Calls without an answer in time.
+std::vector<AdviceCall> expire(Pool &P, TimePoint Now);
+
+} // namespace pollenvale::advice
--- /dev/null
+++ b/packages/advice/src/pool.cpp
@@ -0,0 +1,112 @@
+#include "advice/advice.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::advice {
+
+namespace {
+
+/// An entry serves one call at a time; a second one may wait behind a short.
+constexpr Milliseconds MaxBacklog{60};
+/// A peer without an answer is left alone for this long.
+constexpr Milliseconds AvoidTime{2'000};
+constexpr Milliseconds AnswerMargin{700};
+constexpr Milliseconds MaxQueueTime{3'000};
+
+/// The helper that is free first; empty when all are busy.
+Helper *choose(Pool &P, TimePoint Now, std::string &Name) {
+  Helper *Best = nullptr;
+  for (auto &[Address, H] : P.Helpers_) {
+    if (Now < H.AvoidUntil_ || H.Backlog_ > MaxBacklog)
+      continue;
+    if (Best && Best->Backlog_ <= H.Backlog_)
+      continue;
+    Best = &H;
+    Name = Address;
+  }
+  return Best;
+}
+
+void release(Pool &P, const Pending &X, bool Answered, TimePoint Now) {
+  auto It = P.Helpers_.find(X.Helper_);
+  if (It == P.Helpers_.end())
+    return;
+  Helper &H = It->second;
+  H.Backlog_ = std::max(H.Backlog_ - X.Call_.Expected_, Milliseconds{0});
+  --H.InFlight_;
+  if (!Answered && !X.Helper_.empty())
+    H.AvoidUntil_ = Now + AvoidTime;
+}
+
+} // namespace
+
+void setPeers(Pool &P, const std::vector<std::string> &Addresses) {
+  for (const std::string &A : Addresses)
+    P.Helpers_.try_emplace(A);
+  std::erase_if(P.Helpers_, [&](const auto &Entry) {
+    return !Entry.first.empty() && Entry.second.InFlight_ == 0 &&
+           std::find(Addresses.begin(), Addresses.end(), Entry.first) ==
+               Addresses.end();
+  });
+}
+
+void enqueue(Pool &P, AdviceCall Call, TimePoint Now) {
+  P.Queue_.push_back({std::move(Call), Now});
+}
+
+std::vector<Dispatch> dispatch(Pool &P, TimePoint Now) {
+  std::vector<Dispatch> Out;
+  std::stable_sort(P.Queue_.begin(), P.Queue_.end(),
+                   [](const Pending &A, const Pending &B) {
+                     return A.Call_.Priority_ < B.Call_.Priority_;
+                   });
+  while (!P.Queue_.empty()) {
+    std::string Name;
+    Helper *H = choose(P, Now, Name);
+    if (!H)
+      break;
+    Pending X = std::move(P.Queue_.front());
+    P.Queue_.erase(P.Queue_.begin());
+    H->Backlog_ += X.Call_.Expected_;
+    ++H->InFlight_;
+    X.Helper_ = Name;
+    X.GiveUpAt_ = Now + H->Backlog_ + AnswerMargin;
+    CallId Id = P.NextId_++;
+    Out.push_back({Id, Name, X.Call_});
+    P.InFlight_[Id] = std::move(X);
+  }
+  return Out;
+}
+
+std::optional<AdviceCall> finish(Pool &P, CallId Id, bool Answered,
+                                 TimePoint Now) {
+  auto It = P.InFlight_.find(Id);
+  if (It == P.InFlight_.end())
+    return std::nullopt;
+  Pending X = std::move(It->second);
+  P.InFlight_.erase(It);
+  release(P, X, Answered, Now);
+  return std::move(X.Call_);
+}
+
+std::vector<AdviceCall> expire(Pool &P, TimePoint Now) {
+  std::vector<AdviceCall> Out;
+  for (auto It = P.InFlight_.begin(); It != P.InFlight_.end();) {
+    if (Now < It->second.GiveUpAt_) {
+      ++It;
+      continue;
+    }
+    release(P, It->second, false, Now);
+    Out.push_back(std::move(It->second.Call_));
+    It = P.InFlight_.erase(It);
+  }
+  std::erase_if(P.Queue_, [&](Pending &X) {
+    if (Now - X.QueuedAt_ < MaxQueueTime)
+      return false;
+    Out.push_back(std::move(X.Call_));
+    return true;
+  });
+  return Out;
+}
+
+} // namespace pollenvale::advice
--- a/packages/http/http.hpp
+++ b/packages/http/http.hpp
@@ -3,4 +3,5 @@
 #pragma once
 
 #include "http/detail/client.hpp"
+#include "http/detail/loop.hpp"
 #include "http/detail/server.hpp"
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -1,66 +1,17 @@
+#include "http/detail/transfer.hpp"
 #include "http/http.hpp"
 
-#include <curl/curl.h>
 #include <deque>
 #include <future>
 #include <map>
 #include <mutex>
-#include <strings.h>
 #include <thread>
 
 namespace pollenvale::http {
 
 namespace {
 
-struct Transfer {
-  ClientCall Call_;
-  ClientDone Done_;
-  ClientReply Reply_;
-  curl_slist *Headers_ = nullptr;
-  CURL *Easy_ = nullptr;
-};
-
-std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
-                   void *User) {
-  static_cast<Transfer *>(User)->Reply_.Body_.append(Data, Size * Count);
-  return Size * Count;
-}
-
-std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
-                     void *User) {
-  static const std::string Name = "x-pollenvale-echo:";
-  std::string Line(Data, Size * Count);
-  if (Line.size() > Name.size() &&
-      strncasecmp(Line.c_str(), Name.c_str(), Name.size()) == 0) {
-    auto From = Line.find_first_not_of(' ', Name.size());
-    auto To = Line.find_last_not_of("\r\n ");
-    if (From != std::string::npos && To >= From)
-      static_cast<Transfer *>(User)->Reply_.Echo_ =
-          Line.substr(From, To - From + 1);
-  }
-  return Size * Count;
-}
-
-ClientStatus classify(CURL *Easy, CURLcode Code) {
-  switch (Code) {
-  case CURLE_OK:
-    return ClientStatus::Answered;
-  case CURLE_COULDNT_RESOLVE_HOST:
-  case CURLE_COULDNT_CONNECT:
-  case CURLE_URL_MALFORMAT:
-    return ClientStatus::NotSent;
-  case CURLE_PARTIAL_FILE:
-    return ClientStatus::Truncated;
-  case CURLE_OPERATION_TIMEDOUT: {
-    // Without a connection no byte can have left.
-    curl_off_t Connected = 0;
-    curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &Connected);
-    return Connected == 0 ? ClientStatus::NotSent : ClientStatus::Timeout;
-  }
-  default:
-    return ClientStatus::Lost;
-  }
-}
+using detail::Transfer;
 
 class CurlClient : public Client {
 public:
@@ -119,29 +70,7 @@
 
   void start(std::unique_ptr<Transfer> T) {
     CURL *Easy = T->Easy_ = curl_easy_init();
-    const ClientCall &Call = T->Call_;
-    curl_easy_setopt(Easy, CURLOPT_URL, Call.Url_.c_str());
-    curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Call.Method_.c_str());
-    if (Call.Method_ != "GET") {
-      curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Call.Body_.c_str());
-      curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                       curl_off_t(Call.Body_.size()));
-    }
-    T->Headers_ = curl_slist_append(T->Headers_, "Expect:");
-    T->Headers_ =
-        curl_slist_append(T->Headers_, "Content-Type: application/json");
-    for (const std::string &H : Call.Headers_)
-      T->Headers_ = curl_slist_append(T->Headers_, H.c_str());
-    curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, T->Headers_);
-    curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, long(Call.Timeout_.count()));
-    curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(Easy, CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Call.Fresh_ ? 1L : 0L);
-    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, Call.Fresh_ ? 1L : 0L);
-    curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
-    curl_easy_setopt(Easy, CURLOPT_WRITEDATA, T.get());
-    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeader);
-    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, T.get());
+    detail::prepare(*T);
     curl_multi_add_handle(Multi_, Easy);
     Transfers_[Easy] = std::move(T);
   }
@@ -157,12 +86,7 @@
         continue;
       std::unique_ptr<Transfer> T = std::move(It->second);
       Transfers_.erase(It);
-      long Status = 0;
-      curl_easy_getinfo(T->Easy_, CURLINFO_RESPONSE_CODE, &Status);
-      T->Reply_.Status_ = classify(T->Easy_, Code);
-      T->Reply_.Code_ = int(Status);
-      if (Code != CURLE_OK)
-        T->Reply_.Message_ = curl_easy_strerror(Code);
+      detail::conclude(*T, Code);
       cleanUp(*T);
       T->Done_(std::move(T->Reply_));
     }
@@ -185,8 +109,7 @@
 } // namespace
 
 std::unique_ptr<Client> makeClient() {
-  static const CURLcode Init = curl_global_init(CURL_GLOBAL_DEFAULT);
-  (void)Init;
+  detail::initializeCurl();
   return std::make_unique<CurlClient>();
 }
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -8,9 +8,16 @@
 
 namespace {
 
+using RequestHandler = std::function<restinio::request_handling_status_t(
+    restinio::request_handle_t)>;
+
 struct Traits : restinio::default_traits_t {
-  using request_handler_t = std::function<restinio::request_handling_status_t(
-      restinio::request_handle_t)>;
+  using request_handler_t = RequestHandler;
+};
+
+/// Without locks: everything runs on one thread.
+struct LoopTraits : restinio::default_single_thread_traits_t {
+  using request_handler_t = RequestHandler;
 };
 
 using Count = std::atomic<std::size_t>;
@@ -109,32 +116,75 @@
   bool Stopped_ = false;
 };
 
-} // namespace
+/// A server on the caller's event loop.
+class LoopServer : public Server {
+public:
+  LoopServer(asio::io_context &Io,
+             restinio::server_settings_t<LoopTraits> Settings,
+             std::shared_ptr<Count> Total)
+      : Total_(std::move(Total)),
+        Server_(restinio::external_io_context(Io), std::move(Settings)) {
+    Server_.open_sync();
+  }
+  ~LoopServer() override { stopNow(); }
+  std::size_t unwritten() const override { return *Total_; }
+  void stop() override { stopNow(); }
 
-std::unique_ptr<Server> startServer(const ServerOptions &Options,
-                                    Handler Handle) {
-  constexpr std::chrono::minutes HandleTimeout{11};
-  auto Total = std::make_shared<Count>(0);
-  auto OnRequest = [Handle = std::move(Handle),
-                    Total](restinio::request_handle_t R) {
+private:
+  void stopNow() {
+    if (Stopped_)
+      return;
+    Stopped_ = true;
+    Server_.close_sync();
+  }
+  std::shared_ptr<Count> Total_;
+  restinio::http_server_t<LoopTraits> Server_;
+  bool Stopped_ = false;
+};
+
+RequestHandler wrap(Handler Handle, const std::shared_ptr<Count> &Total) {
+  return [Handle = std::move(Handle), Total](restinio::request_handle_t R) {
     Handle(convert(R), [R, Total](ServerReply Reply) {
       respond(R, std::move(Reply), Total);
     });
     return restinio::request_accepted();
   };
-  auto Settings = restinio::server_settings_t<Traits>{}
-                      .address(Options.Host_)
-                      .port(Options.Port_)
-                      .request_handler(std::move(OnRequest))
-                      .handle_request_timeout(HandleTimeout)
-                      .incoming_http_msg_limits(
-                          restinio::incoming_http_msg_limits_t{}.max_body_size(
-                              HardBodyLimit))
-                      .cleanup_func([] {});
+}
+
+template <class SettingsTraits>
+restinio::server_settings_t<SettingsTraits>
+makeSettings(const ServerOptions &Options, Handler Handle,
+             const std::shared_ptr<Count> &Total) {
+  constexpr std::chrono::minutes HandleTimeout{11};
+  return restinio::server_settings_t<SettingsTraits>{}
+      .address(Options.Host_)
+      .port(Options.Port_)
+      .request_handler(wrap(std::move(Handle), Total))
+      .handle_request_timeout(HandleTimeout)
+      .incoming_http_msg_limits(
+          restinio::incoming_http_msg_limits_t{}.max_body_size(HardBodyLimit))
+      .cleanup_func([] {});
+}
+
+} // namespace
+
+std::unique_ptr<Server> startServer(const ServerOptions &Options,
+                                    Handler Handle) {
+  auto Total = std::make_shared<Count>(0);
+  auto Settings = makeSettings<Traits>(Options, std::move(Handle), Total);
   return std::make_unique<RestinioServer>(
       restinio::run_async<Traits>(restinio::own_io_context(),
                                   std::move(Settings), Options.Threads_),
       std::move(Total));
 }
 
+std::unique_ptr<Server> startServer(asio::io_context &Io,
+                                    const ServerOptions &Options,
+                                    Handler Handle) {
+  auto Total = std::make_shared<Count>(0);
+  auto Settings = makeSettings<LoopTraits>(Options, std::move(Handle), Total);
+  return std::make_unique<LoopServer>(Io, std::move(Settings),
+                                      std::move(Total));
+}
+
 } // namespace pollenvale::http
--- /dev/null
+++ b/packages/http/src/transfer.cpp
@@ -0,0 +1,96 @@
+#include "http/detail/transfer.hpp"
+
+#include <strings.h>
+
+namespace pollenvale::http::detail {
+
+namespace {
+
+std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                   void *User) {
+  static_cast<Transfer *>(User)->Reply_.Body_.append(Data, Size * Count);
+  return Size * Count;
+}
+
+std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                     void *User) {
+  static const std::string Name = "x-pollenvale-echo:";
+  std::size_t Length = Size * Count;
+  if (Length <= Name.size() ||
+      strncasecmp(Data, Name.c_str(), Name.size()) != 0)
+    return Length;
+  std::string Line(Data, Length);
+  auto From = Line.find_first_not_of(' ', Name.size());
+  auto To = Line.find_last_not_of("\r\n ");
+  if (From != std::string::npos && To >= From)
+    static_cast<Transfer *>(User)->Reply_.Echo_ =
+        Line.substr(From, To - From + 1);
+  return Length;
+}
+
+ClientStatus classify(CURL *Easy, CURLcode Code) {
+  switch (Code) {
+  case CURLE_OK:
+    return ClientStatus::Answered;
+  case CURLE_COULDNT_RESOLVE_HOST:
+  case CURLE_COULDNT_CONNECT:
+  case CURLE_URL_MALFORMAT:
+    return ClientStatus::NotSent;
+  case CURLE_PARTIAL_FILE:
+    return ClientStatus::Truncated;
+  case CURLE_OPERATION_TIMEDOUT: {
+    // Without a connection no byte can have left.
+    curl_off_t Connected = 0;
+    curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &Connected);
+    return Connected == 0 ? ClientStatus::NotSent : ClientStatus::Timeout;
+  }
+  default:
+    return ClientStatus::Lost;
+  }
+}
+
+} // namespace
+
+void initializeCurl() {
+  static const CURLcode Init = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)Init;
+}
+
+void prepare(Transfer &T) {
+  CURL *Easy = T.Easy_;
+  const ClientCall &Call = T.Call_;
+  curl_easy_setopt(Easy, CURLOPT_URL, Call.Url_.c_str());
+  if (Call.Method_ != "GET") {
+    curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Call.Method_.c_str());
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Call.Body_.data());
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     curl_off_t(Call.Body_.size()));
+    T.Headers_ =
+        curl_slist_append(T.Headers_, "Content-Type: application/json");
+    T.Headers_ = curl_slist_append(T.Headers_, "Expect:");
+  }
+  for (const std::string &H : Call.Headers_)
+    T.Headers_ = curl_slist_append(T.Headers_, H.c_str());
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, T.Headers_);
+  curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, long(Call.Timeout_.count()));
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Call.Fresh_ ? 1L : 0L);
+  curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, Call.Fresh_ ? 1L : 0L);
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, onBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &T);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, onHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &T);
+}
+
+void conclude(Transfer &T, CURLcode Code) {
+  long Status = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
+  T.Reply_.Status_ = classify(T.Easy_, Code);
+  T.Reply_.Code_ = int(Status);
+  if (Code != CURLE_OK)
+    T.Reply_.Message_ = curl_easy_strerror(Code);
+}
+
+} // namespace pollenvale::http::detail
--- /dev/null
+++ b/packages/ledger/detail/record.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Records of the job topic and their keys.
+#pragma once
+
+#include "ledger/detail/store.hpp"
+#include "workflow/workflow.hpp"
+
+namespace pollenvale::ledger {
+
+/// A job accepted from a caller. The first one of an id is valid.
+struct AcceptedJob {
+  /// Terms of the queue at acceptance; they hold on if the queue is removed.
+  workflow::Queue Queue_;
+  std::int64_t AcceptedUnixMs_ = 0;
+  workflow::WorkflowSpec Spec_;
+  MSGPACK_DEFINE(Queue_, AcceptedUnixMs_, Spec_)
+};
+
+/// Workers to which the owner of a slice may have given leases.
+struct Roster {
+  std::vector<WorkerId> Workers_;
+  MSGPACK_DEFINE(Workers_)
+};
+
+enum class RecordKind { Job, Cancel, Progress, Roster, Unknown };
+
+/// Kind of the record with \p Key and, for the first three, its job.
+struct RecordName {
+  RecordKind Kind_ = RecordKind::Unknown;
+  JobId Job_;
+};
+RecordName nameOf(const std::string &Key);
+
+KeyedRecord makeJob(const JobId &Job, const AcceptedJob &Record);
+KeyedRecord makeCancel(const JobId &Job);
+KeyedRecord makeProgress(const JobId &Job, const workflow::Progress &Record);
+KeyedRecord makeRoster(const Roster &Record);
+/// Records that remove every key of \p Job.
+std::vector<KeyedRecord> makeRemoval(const JobId &Job);
+
+/// Empty when \p Value can't be read.
+std::optional<AcceptedJob> parseJob(const std::string &Value);
+std::optional<workflow::Progress> parseProgress(const std::string &Value);
+std::optional<Roster> parseRoster(const std::string &Value);
+
+} // namespace pollenvale::ledger
--- /dev/null
+++ b/packages/ledger/src/record.cpp
@@ -0,0 +1,84 @@
+#include "ledger/ledger.hpp"
+
+namespace pollenvale::ledger {
+
+namespace {
+
+constexpr char JobPrefix = 'j';
+constexpr char CancelPrefix = 'c';
+constexpr char ProgressPrefix = 'p';
+constexpr char RosterKey[] = "roster";
+
+std::string keyOf(char Prefix, const JobId &Job) { return Prefix + Job; }
+
+template <class T> std::string pack(const T &Record) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Record);
+  return {Buffer.data(), Buffer.size()};
+}
+
+template <class T> std::optional<T> unpack(const std::string &Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+RecordName nameOf(const std::string &Key) {
+  if (Key == RosterKey)
+    return {RecordKind::Roster, {}};
+  if (Key.size() < 2)
+    return {};
+  switch (Key[0]) {
+  case JobPrefix:
+    return {RecordKind::Job, Key.substr(1)};
+  case CancelPrefix:
+    return {RecordKind::Cancel, Key.substr(1)};
+  case ProgressPrefix:
+    return {RecordKind::Progress, Key.substr(1)};
+  default:
+    return {};
+  }
+}
+
+KeyedRecord makeJob(const JobId &Job, const AcceptedJob &Record) {
+  return {keyOf(JobPrefix, Job), pack(Record)};
+}
+
+KeyedRecord makeCancel(const JobId &Job) {
+  return {keyOf(CancelPrefix, Job), "1"};
+}
+
+KeyedRecord makeProgress(const JobId &Job, const workflow::Progress &Record) {
+  return {keyOf(ProgressPrefix, Job), pack(Record)};
+}
+
+KeyedRecord makeRoster(const Roster &Record) {
+  return {RosterKey, pack(Record)};
+}
+
+std::vector<KeyedRecord> makeRemoval(const JobId &Job) {
+  return {{keyOf(JobPrefix, Job), ""},
+          {keyOf(CancelPrefix, Job), ""},
+          {keyOf(ProgressPrefix, Job), ""}};
+}
+
+std::optional<AcceptedJob> parseJob(const std::string &Value) {
+  auto Job = unpack<AcceptedJob>(Value);
+  if (Job && !workflow::check(Job->Spec_))
+    return std::nullopt;
+  return Job;
+}
+
+std::optional<workflow::Progress> parseProgress(const std::string &Value) {
+  return unpack<workflow::Progress>(Value);
+}
+
+std::optional<Roster> parseRoster(const std::string &Value) {
+  return unpack<Roster>(Value);
+}
+
+} // namespace pollenvale::ledger
--- /dev/null
+++ b/packages/ledger/src/tail.cpp
@@ -0,0 +1,70 @@
+#include "ledger/ledger.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::ledger {
+
+namespace {
+
+constexpr Milliseconds RetryInterval{250};
+
+} // namespace
+
+TailStep nextStep(const Tail &T, TimePoint Now) {
+  if (T.InFlight_ || Now < T.NotBefore_)
+    return TailStep::Idle;
+  return T.Loading_ ? TailStep::Newest : TailStep::Read;
+}
+
+void onSent(Tail &T, TimePoint Now) {
+  T.InFlight_ = true;
+  T.SentAt_ = Now;
+}
+
+bool onNewest(Tail &T, const NewestReply &Reply, TimePoint Now) {
+  T.InFlight_ = false;
+  T.Reachable_ = Reply.Status_ == StoreStatus::Done;
+  if (!T.Reachable_) {
+    T.NotBefore_ = Now + RetryInterval;
+    return false;
+  }
+  T.AnsweredAt_ = Now;
+  // Pages are no snapshot: reading goes on from the end as of the first one.
+  if (!T.LoadEnd_)
+    T.LoadEnd_ = Reply.End_;
+  if (Reply.More_ && !Reply.Records_.empty()) {
+    T.PageAfter_ = Reply.Records_.back().Key_;
+    return false;
+  }
+  T.Next_ = *T.LoadEnd_;
+  T.LoadEnd_.reset();
+  T.PageAfter_.clear();
+  T.Loading_ = false;
+  T.Loaded_ = true;
+  return true;
+}
+
+void onRead(Tail &T, const ReadReply &Reply, TimePoint Now) {
+  T.InFlight_ = false;
+  T.Reachable_ = Reply.Status_ == StoreStatus::Done ||
+                 Reply.Status_ == StoreStatus::Forgotten;
+  if (Reply.Status_ == StoreStatus::Forgotten) {
+    T.Loading_ = true;
+    T.LoadEnd_.reset();
+    T.PageAfter_.clear();
+    return;
+  }
+  if (Reply.Status_ != StoreStatus::Done) {
+    T.NotBefore_ = Now + RetryInterval;
+    return;
+  }
+  T.AnsweredAt_ = Now;
+  T.Next_ = std::max(T.Next_, Reply.Next_);
+  if (T.Next_ >= Reply.End_)
+    T.CurrentAt_ = std::max(T.CurrentAt_, T.SentAt_);
+  else
+    return;
+  T.NotBefore_ = Now + T.Options_.Spacing_;
+}
+
+} // namespace pollenvale::ledger
--- /dev/null
+++ b/packages/ownership/detail/claims.hpp
@@ -0,0 +1,93 @@
+/// \file
+/// An entry's view of all claims, and when it claims a slice itself.
+#pragma once
+
+#include "ownership/detail/records.hpp"
+
+#include <map>
+#include <set>
+
+namespace pollenvale::ownership {
+
+struct Options {
+  NodeId Self_;
+  std::string Address_;
+  /// Heartbeat of an entry that owns a slice.
+  Milliseconds OwnerBeat_{600};
+  /// Heartbeat of one that owns none; it only makes its address known.
+  Milliseconds IdleBeat_{5'000};
+  /// An owner silent for this long, while the store answers, is taken over.
+  Milliseconds SilenceLimit_{1'900};
+  /// An owner that the store has not answered for this long stops its orders.
+  Milliseconds SelfFence_{10'000};
+  /// Claims of several entries are spread over this time, so that few race.
+  Milliseconds ClaimSpread_{300};
+  /// An entry waits this much longer for each slice that it owns already.
+  Milliseconds ClaimPenalty_{500};
+};
+
+struct SliceView {
+  ClaimNumber Number_ = 0;
+  NodeId Holder_;
+  std::uint32_t Generation_ = 0;
+  bool GivenUp_ = false;
+  TimePoint SeenAt_{};    ///< When the claim was read.
+  TimePoint FreeSince_{}; ///< When the slice was first found without owner.
+  bool Free_ = false;
+};
+
+struct NodeView {
+  std::string Address_;
+  NodeId Node_;
+  TimePoint SeenAt_{};
+};
+
+/// A slice that this entry owns.
+struct Owned {
+  ClaimNumber Number_ = 0;
+  std::uint32_t Generation_ = 0;
+  /// The previous owner gave the slice up or there was none, so no order of it
+  /// can still be on its way.
+  bool Clean_ = false;
+  TimePoint ClaimedAt_{};
+};
+
+struct State {
+  Options Options_;
+  std::map<SliceName, SliceView> Slices_;
+  std::map<std::string, NodeView> Nodes_; ///< By node name.
+  std::map<SliceName, Owned> Owned_;
+  std::set<SliceName> Claiming_; ///< Claims in flight.
+  TimePoint ContactSince_{};     ///< Start of the present contact to the store.
+  TimePoint ContactAt_{};        ///< Last answer of the store.
+  TimePoint BeatStoredAt_{};     ///< Send time of the last stored heartbeat.
+  TimePoint BeatSentAt_{};
+  bool BeatInFlight_ = false;
+  bool Stopping_ = false;
+};
+
+/// A write that the driver shall make to the claims topic.
+struct Write {
+  enum class Kind { Claim, GiveUp, Beat };
+  Kind Kind_ = Kind::Beat;
+  SliceName Slice_;
+  ledger::KeyedRecord Record_;
+  std::optional<Offset> ExpectedEnd_;
+};
+
+void onRecord(State &S, const ledger::KeyedRecord &R, TimePoint Now);
+/// The store answered a read of the claims topic at \p Now.
+void onContact(State &S, TimePoint Now);
+void onWritten(State &S, const Write &W, const ledger::AppendReply &Reply,
+               TimePoint SentAt, TimePoint Now);
+/// Writes that are due. \p Wanted: slices of the configuration in force.
+/// \p End: end of the claims partition as far as it was read.
+std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
+                        std::optional<Offset> End, TimePoint Now);
+/// Forgets an own slice whose claim turned out to be superseded.
+void drop(State &S, const SliceName &Slice);
+/// False when the owner must not send orders: the store has been out of reach
+/// for so long that another entry may count on its silence.
+bool mayOrder(const State &S, TimePoint Now);
+
+} // namespace pollenvale::ownership
--- /dev/null
+++ b/packages/ownership/src/claims.cpp
@@ -0,0 +1,166 @@
+#include "ownership/ownership.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::ownership {
+
+using ledger::StoreStatus;
+
+namespace {
+
+/// A store that was silent for longer than this begins a new contact.
+constexpr Milliseconds ContactGap{1'500};
+
+void onClaim(State &S, const SliceName &Slice, const ClaimRecord &R,
+             Offset Offset, TimePoint Now) {
+  SliceView &View = S.Slices_[Slice];
+  if (R.GivenUp_ != 0) {
+    if (R.GivenUp_ >= View.Number_) {
+      View.Number_ = R.GivenUp_;
+      View.Generation_ = std::max(View.Generation_, R.Generation_);
+      View.GivenUp_ = true;
+    }
+    return;
+  }
+  ClaimNumber Number = Offset + 1;
+  if (Number <= View.Number_)
+    return;
+  View = SliceView{Number, R.Holder_, R.Generation_, false, Now};
+  auto Own = S.Owned_.find(Slice);
+  if (Own != S.Owned_.end() && Own->second.Number_ < Number)
+    S.Owned_.erase(Own);
+}
+
+/// Time that the holder of \p View has been silent for, as far as known.
+Milliseconds silence(const State &S, const SliceView &View) {
+  auto It = S.Nodes_.find(nodeName(View.Holder_));
+  TimePoint Heard = std::max(S.ContactSince_, View.SeenAt_);
+  if (It != S.Nodes_.end() && It->second.Node_ == View.Holder_)
+    Heard = std::max(Heard, It->second.SeenAt_);
+  return elapsed(Heard, S.ContactAt_);
+}
+
+bool isFree(const State &S, const SliceView &View) {
+  if (View.Number_ == 0 || View.GivenUp_)
+    return true;
+  // A claim of this process without an answer is never used.
+  if (View.Holder_ == S.Options_.Self_)
+    return true;
+  // The holder's process has ended if its VM runs another one.
+  auto It = S.Nodes_.find(nodeName(View.Holder_));
+  if (It != S.Nodes_.end() && It->second.Node_ != View.Holder_)
+    return true;
+  return silence(S, View) > S.Options_.SilenceLimit_;
+}
+
+Milliseconds claimDelay(const State &S, const SliceName &Slice) {
+  auto Spread = std::uint64_t(S.Options_.ClaimSpread_.count());
+  auto Jitter = stableHash(Slice + S.Options_.Self_) % (Spread + 1);
+  auto Load = std::int64_t(S.Owned_.size() + S.Claiming_.size());
+  return Milliseconds(std::int64_t(Jitter)) + S.Options_.ClaimPenalty_ * Load;
+}
+
+void claimFreeSlices(State &S, const std::set<SliceName> &Wanted, Offset End,
+                     TimePoint Now, std::vector<Write> &Out) {
+  for (const SliceName &Slice : Wanted) {
+    if (S.Owned_.count(Slice) || S.Claiming_.count(Slice))
+      continue;
+    SliceView &View = S.Slices_[Slice];
+    if (!isFree(S, View)) {
+      View.Free_ = false;
+      continue;
+    }
+    if (!View.Free_) {
+      View.Free_ = true;
+      View.FreeSince_ = Now;
+    }
+    if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice))
+      continue;
+    ClaimRecord R{S.Options_.Self_, View.Generation_ + 1};
+    Out.push_back({Write::Kind::Claim, Slice, makeClaim(Slice, R), End});
+    S.Claiming_.insert(Slice);
+  }
+}
+
+void giveUpSlices(State &S, std::vector<Write> &Out) {
+  for (const auto &[Slice, Own] : S.Owned_) {
+    ClaimRecord R{S.Options_.Self_, Own.Generation_, Own.Number_};
+    Out.push_back({Write::Kind::GiveUp, Slice, makeClaim(Slice, R), {}});
+  }
+  S.Owned_.clear();
+}
+
+} // namespace
+
+void onRecord(State &S, const ledger::KeyedRecord &R, TimePoint Now) {
+  std::string Name = R.Key_.empty() ? "" : nameOf(R.Key_);
+  if (kindOf(R.Key_) == RecordKind::Claim) {
+    if (auto Claim = parseClaim(R.Value_))
+      onClaim(S, Name, *Claim, R.Offset_, Now);
+  } else if (kindOf(R.Key_) == RecordKind::Node) {
+    if (auto Node = parseNode(R.Value_))
+      S.Nodes_[Name] = NodeView{Node->Address_, Node->Node_, Now};
+  }
+}
+
+void onContact(State &S, TimePoint Now) {
+  if (S.ContactAt_ == TimePoint{} || Now - S.ContactAt_ > ContactGap)
+    S.ContactSince_ = Now;
+  S.ContactAt_ = Now;
+}
+
+void onWritten(State &S, const Write &W, const ledger::AppendReply &Reply,
+               TimePoint SentAt, TimePoint Now) {
+  bool Stored = Reply.Status_ == StoreStatus::Done;
+  if (W.Kind_ == Write::Kind::Beat) {
+    S.BeatInFlight_ = false;
+    if (Stored)
+      S.BeatStoredAt_ = std::max(S.BeatStoredAt_, SentAt);
+    return;
+  }
+  if (W.Kind_ != Write::Kind::Claim)
+    return;
+  S.Claiming_.erase(W.Slice_);
+  SliceView &View = S.Slices_[W.Slice_];
+  // An unanswered claim may have been stored. It is never used: another entry,
+  // or this one later, claims the slice anew.
+  if (!Stored || Reply.First_ + 1 < View.Number_ || S.Stopping_) {
+    View.FreeSince_ = Now;
+    return;
+  }
+  bool Clean = View.Number_ == 0 || View.GivenUp_;
+  std::uint32_t Generation = View.Generation_ + 1;
+  View = SliceView{Reply.First_ + 1, S.Options_.Self_, Generation, false, Now};
+  S.Owned_[W.Slice_] = Owned{View.Number_, Generation, Clean, SentAt};
+  S.BeatStoredAt_ = std::max(S.BeatStoredAt_, SentAt);
+}
+
+std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
+                        std::optional<Offset> End, TimePoint Now) {
+  std::vector<Write> Out;
+  if (S.Stopping_) {
+    giveUpSlices(S, Out);
+    return Out;
+  }
+  if (End && elapsed(S.ContactAt_, Now) < ContactGap)
+    claimFreeSlices(S, Wanted, *End, Now, Out);
+  const Options &O = S.Options_;
+  Milliseconds Interval = S.Owned_.empty() ? O.IdleBeat_ : O.OwnerBeat_;
+  bool Due = S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval;
+  if (Due && !S.BeatInFlight_) {
+    NodeRecord R{O.Self_, O.Address_};
+    Out.push_back(
+        {Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), std::nullopt});
+    S.BeatInFlight_ = true;
+    S.BeatSentAt_ = Now;
+  }
+  return Out;
+}
+
+void drop(State &S, const SliceName &Slice) { S.Owned_.erase(Slice); }
+
+bool mayOrder(const State &S, TimePoint Now) {
+  return Now - S.BeatStoredAt_ < S.Options_.SelfFence_;
+}
+
+} // namespace pollenvale::ownership
--- /dev/null
+++ b/packages/scheduler/detail/placing.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Pure parts of placement: the order of waiting steps, the choice of workers
+/// and of those to ask the policy about.
+#pragma once
+
+#include "scheduler/detail/state.hpp"
+
+namespace pollenvale::scheduler::detail {
+
+/// Place of a waiting step in the order; smaller goes first.
+struct WaitKey {
+  bool Hopeless_ = false; ///< Past the time in which it is worth anything.
+  bool Overdue_ = false;  ///< Past its objective.
+  int Priority_ = 0;
+  TimePoint DueAt_{};
+  TimePoint AcceptedAt_{};
+
+  auto operator<=>(const WaitKey &) const = default;
+};
+
+WaitKey waitKey(const Job &J, const Step &P, TimePoint Now);
+
+/// A worker that could take a task of the step.
+struct Candidate {
+  Worker *Worker_ = nullptr;
+  Resources Free_;
+  std::uint32_t OnIt_ = 0; ///< Tasks of the step there.
+  bool Permitted_ = false;
+  bool Allowed_ = false; ///< The policy has allowed it at some time.
+};
+
+/// Tasks of \p Spec that fit into \p C.
+std::uint32_t capacityFor(const workflow::StepSpec &Spec, const Candidate &C);
+
+/// Index of the best candidate for one task; empty when none fits. The one
+/// with the least room left over, near the data, not where it failed last.
+std::optional<std::size_t> chooseWorker(const workflow::StepSpec &Spec,
+                                        const std::vector<Candidate> &All,
+                                        const WorkerId &FailedOn);
+
+/// Workers to ask the policy about so that \p Tasks tasks find room.
+std::vector<WorkerId> chooseForAdvice(const workflow::StepSpec &Spec,
+                                      const std::vector<Candidate> &All,
+                                      std::uint32_t Tasks);
+
+} // namespace pollenvale::scheduler::detail
--- /dev/null
+++ b/packages/scheduler/detail/state.hpp
@@ -0,0 +1,158 @@
+/// \file
+/// State of the owner of one slice.
+#pragma once
+
+#include "scheduler/detail/outbox.hpp"
+
+#include <map>
+
+namespace pollenvale::scheduler {
+
+enum class RunPhase {
+  Starting,   ///< Sent; not answered.
+  Running,    ///< The worker has accepted it or lists it.
+  Unresolved, ///< May run or not; a stop or the worker's list will tell.
+};
+
+/// One start of a task.
+struct Run {
+  std::uint32_t Number_ = 0;
+  WorkerId Worker_;
+  RunPhase Phase_ = RunPhase::Starting;
+  Resources Charged_;
+  TimePoint StartedAt_{};
+  /// A list that was asked for after this time and lacks the run shows that it
+  /// has ended or never was.
+  std::optional<TimePoint> SettledAt_;
+  TimePoint RetryAt_{}; ///< Next sending of its start or stop.
+  unsigned Sends_ = 0;
+  std::string Permit_;
+  bool InFlight_ = false; ///< A start or stop of it is on its way.
+  bool StopWanted_ = false;
+  unsigned Percent_ = 0;
+  TimePoint AdvancedAt_{}; ///< When Percent_ last grew.
+  unsigned AppliedPace_ = 100;
+};
+
+struct Task {
+  bool Done_ = false;
+  std::uint32_t Failures_ = 0;
+  std::uint32_t LastFailedRun_ = 0;
+  std::uint32_t LastRun_ = 0;
+  WorkerId FailedOn_; ///< Where it failed last.
+  std::string Checkpoint_;
+  std::optional<Run> Run_;
+  TimePoint NotBefore_{};
+};
+
+/// Leave of the placement policy to run a step on one worker.
+struct Permit {
+  std::string Text_;
+  TimePoint Until_{};
+};
+
+struct Step {
+  std::vector<Task> Tasks_;
+  std::uint32_t DoneCount_ = 0;
+  std::uint32_t RunCount_ = 0; ///< Tasks with a run.
+  bool Ready_ = false;         ///< The steps before it are done.
+  TimePoint ReadyAt_{};
+  std::map<WorkerId, Permit> Permits_; ///< Workers that the policy allows.
+  std::set<WorkerId> Denied_;
+  bool AdviceInFlight_ = false;
+  TimePoint AdviceNotBefore_{};
+  std::string GangCheckpoint_;
+};
+
+struct Occurrence {
+  std::vector<Step> Steps_;
+  std::uint32_t StepsDone_ = 0;
+};
+
+struct Job {
+  JobId Id_;
+  workflow::Queue Queue_;
+  workflow::WorkflowSpec Spec_;
+  workflow::JobState State_ = workflow::JobState::Queued;
+  std::map<std::uint32_t, Occurrence> Open_;
+  std::uint32_t NextOccurrence_ = 0; ///< First one that is not yet due.
+  bool Inherited_ = false;           ///< Accepted before this owner's claim.
+  bool Dirty_ = false;               ///< Progress is to be written.
+  TimePoint AcceptedAt_{};
+  TimePoint DueAt_{}; ///< End of the objective.
+  TimePoint ClosedAt_{};
+};
+
+struct Worker {
+  WorkerInfo Info_;
+  bool Listed_ = true;    ///< The registry names it.
+  bool Rostered_ = false; ///< A stored roster names it.
+  bool Known_ = false;    ///< It has told what runs, under this owner's token.
+  std::int64_t Life_ = 0; ///< Start of the life that Known_ is about.
+  std::set<TaskId> Tasks_;
+  Resources Used_;
+  Resources Unclaimed_; ///< Of runs on it that no job accounts for.
+  Milliseconds Clock_{0};
+  TimePoint ClockAt_{};
+  bool HoldInFlight_ = false;
+  TimePoint HoldDueAt_{};
+  unsigned Misses_ = 0; ///< Holds in a row without an answer.
+  /// Latest end of any lease that this owner has given there.
+  TimePoint LeaseEndsAt_{};
+  std::uint64_t SeenEnd_ = 0;
+  std::uint64_t StoredEnd_ = 0; ///< Ends up to here are stored.
+  unsigned FailuresInRow_ = 0;
+  TimePoint AvoidUntil_{};
+  unsigned Pace_ = 100; ///< Share that fillers there may work at.
+};
+
+struct Options {
+  std::string Slice_;
+  Token Token_ = 0;
+  std::uint32_t Generation_ = 1;
+  TimePoint ClaimedAt_{};
+  /// When no lease given by an earlier owner can last any longer.
+  TimePoint InheritedLeasesEndAt_{};
+  Milliseconds Lease_{5'000};
+  Milliseconds MaxLease_{10'000}; ///< The workers cut longer ones down.
+  Milliseconds StartDeadline_{2'500};
+};
+
+/// Ends that become acknowledgeable once a write is stored.
+struct PendingAck {
+  WorkerId Worker_;
+  std::int64_t Life_ = 0;
+  std::uint64_t End_ = 0;
+};
+
+struct PendingWrite {
+  std::uint64_t Id_ = 0;
+  std::vector<PendingAck> Acks_;
+  std::vector<WorkerId> Roster_;
+  bool HasRoster_ = false;
+};
+
+struct State {
+  Options Options_;
+  workflow::Catalog Catalog_;
+  std::map<JobId, Job> Jobs_;
+  std::map<WorkerId, Worker> Workers_;
+  std::set<WorkerId> Unaccounted_; ///< Workers that may run inherited tasks.
+  bool InheritanceOpen_ = false;   ///< Whereabouts of inherited tasks unclear.
+  std::set<StepId> Waiting_;       ///< Ready steps with tasks to start.
+  std::set<JobId> Dirty_;
+  std::set<TaskId> Unsettled_; ///< Runs with a start or stop to send.
+  std::set<JobId> Scheduled_;  ///< Jobs with occurrences still to come.
+  std::optional<PendingWrite> Writing_;
+  TimePoint WriteNotBefore_{};
+  std::uint64_t NextWrite_ = 1;
+  bool RosterDirty_ = false;
+  bool AcksDirty_ = false;
+  bool PlaceWanted_ = false; ///< Something changed since the last placement.
+  TimePoint PlaceNotBefore_{};
+  bool Fenced_ = false; ///< A worker has seen a higher token.
+  TimePoint LastTick_{};
+  Counters Counters_;
+};
+
+} // namespace pollenvale::scheduler
--- /dev/null
+++ b/packages/scheduler/src/placement.cpp
@@ -0,0 +1,233 @@
+#include "scheduler/detail/placing.hpp"
+#include "scheduler/detail/tasks.hpp"
+#include "scheduler/scheduler.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::scheduler {
+
+namespace detail {
+
+namespace {
+
+constexpr Milliseconds PlacementInterval{5};
+/// Waiting steps are looked at this often even if nothing has changed: pauses
+/// and permits end by themselves.
+constexpr Milliseconds RevisitInterval{60};
+/// A permit must last this much longer when its start is sent.
+constexpr Milliseconds PermitMargin{120};
+
+struct WaitingStep {
+  WaitKey Key_;
+  StepId Id_;
+};
+
+std::vector<WaitingStep> orderWaiting(State &S, TimePoint Now) {
+  std::vector<WaitingStep> Out;
+  for (const StepId &Id : S.Waiting_) {
+    const Job &J = S.Jobs_.at(Id.Job_);
+    if (J.Inherited_ && S.InheritanceOpen_)
+      continue;
+    Out.push_back({waitKey(J, *findStep(S, Id), Now), Id});
+  }
+  std::sort(Out.begin(), Out.end(),
+            [](const WaitingStep &A, const WaitingStep &B) {
+              return A.Key_ != B.Key_ ? A.Key_ < B.Key_ : A.Id_ < B.Id_;
+            });
+  return Out;
+}
+
+std::uint32_t tasksOn(const Worker &W, const StepId &Id) {
+  auto It = W.Tasks_.lower_bound(TaskId{Id, 0});
+  std::uint32_t Count = 0;
+  for (; It != W.Tasks_.end() && It->Step_ == Id; ++It)
+    ++Count;
+  return Count;
+}
+
+std::vector<Candidate> candidates(State &S, const StepId &Id, TimePoint Now) {
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  const Job &J = S.Jobs_.at(Id.Job_);
+  Step &P = *findStep(S, Id);
+  Resources Size = workflow::chargedSize(Spec);
+  std::vector<Candidate> Out;
+  for (auto &[WorkerName, W] : S.Workers_) {
+    if (!takesTasks(W, Now) || W.Info_.Service_ != J.Queue_.Service_)
+      continue;
+    if (!Spec.RequiredLabel_.empty() &&
+        !W.Info_.Labels_.count(Spec.RequiredLabel_))
+      continue;
+    if (P.Denied_.count(WorkerName))
+      continue;
+    Candidate C{&W, freeRoom(W)};
+    if (!fits(Size, C.Free_))
+      continue;
+    C.OnIt_ = tasksOn(W, Id);
+    auto Permit = P.Permits_.find(WorkerName);
+    C.Allowed_ = Permit != P.Permits_.end();
+    C.Permitted_ = !J.Queue_.Advice_ ||
+                   (C.Allowed_ && Permit->second.Until_ > Now + PermitMargin);
+    Out.push_back(C);
+  }
+  return Out;
+}
+
+/// Tasks of the step that may start now.
+std::vector<std::uint32_t> startable(const Step &P, TimePoint Now) {
+  std::vector<std::uint32_t> Out;
+  for (std::uint32_t I = 0; I < P.Tasks_.size(); ++I) {
+    const Task &T = P.Tasks_[I];
+    if (!T.Done_ && !T.Run_ && Now >= T.NotBefore_)
+      Out.push_back(I);
+  }
+  return Out;
+}
+
+struct Placed {
+  std::uint32_t Index_ = 0;
+  Worker *Worker_ = nullptr;
+};
+
+/// Chooses workers for as many of \p Tasks as possible.
+std::vector<Placed> place(const workflow::StepSpec &Spec, const Step &P,
+                          const std::vector<std::uint32_t> &Tasks,
+                          std::vector<Candidate> &All) {
+  std::vector<Placed> Out;
+  Resources Size = workflow::chargedSize(Spec);
+  for (std::uint32_t Index : Tasks) {
+    auto Best = chooseWorker(Spec, All, P.Tasks_[Index].FailedOn_);
+    if (!Best)
+      break;
+    Candidate &C = All[*Best];
+    C.Free_ -= Size;
+    ++C.OnIt_;
+    Out.push_back({Index, C.Worker_});
+  }
+  return Out;
+}
+
+void startTasks(State &S, const StepId &Id, const std::vector<Placed> &Where,
+                TimePoint Now, Outbox &Out) {
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  Job &J = S.Jobs_.at(Id.Job_);
+  Step &P = *findStep(S, Id);
+  std::uint32_t GangRun = 0;
+  for (const Task &T : P.Tasks_)
+    GangRun = std::max(GangRun, T.LastRun_);
+  for (const Placed &X : Where) {
+    Run R;
+    R.Number_ = 1 + (Spec.Gang_ ? GangRun : P.Tasks_[X.Index_].LastRun_);
+    R.Worker_ = X.Worker_->Info_.Id_;
+    R.Charged_ = workflow::chargedSize(Spec);
+    R.StartedAt_ = Now;
+    auto Permit = P.Permits_.find(R.Worker_);
+    if (Permit != P.Permits_.end())
+      R.Permit_ = Permit->second.Text_;
+    attachRun(S, {Id, X.Index_}, std::move(R));
+    Out.Starts_.push_back(makeStart(S, {Id, X.Index_}, Now));
+    count(S.Counters_, "start-sent");
+  }
+  if (J.State_ == workflow::JobState::Queued) {
+    J.State_ = workflow::JobState::Running;
+    markDirty(S, J);
+  }
+  refreshWaiting(S, Id);
+}
+
+/// Whether all of a gang could run at once if the policy allowed it.
+bool gangFits(const workflow::StepSpec &Spec,
+              const std::vector<Candidate> &All) {
+  std::uint64_t Room = 0;
+  for (const Candidate &C : All)
+    Room += capacityFor(Spec, C);
+  return Room >= Spec.Count_;
+}
+
+void askForAdvice(State &S, const StepId &Id, const std::vector<Candidate> &All,
+                  std::uint32_t Tasks, TimePoint Now, Outbox &Out) {
+  const Job &J = S.Jobs_.at(Id.Job_);
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  Step &P = *findStep(S, Id);
+  if (!J.Queue_.Advice_ || P.AdviceInFlight_ || Now < P.AdviceNotBefore_)
+    return;
+  if (Spec.Gang_ && !gangFits(Spec, All))
+    return;
+  AdviceCall Call;
+  Call.Step_ = Id;
+  Call.Workers_ = chooseForAdvice(Spec, All, Tasks);
+  if (Call.Workers_.empty())
+    return;
+  Call.Priority_ = J.Queue_.Priority_;
+  Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
+                                             J.Queue_.Advice_->PerWorkerMs_ *
+                                                 double(Call.Workers_.size())));
+  P.AdviceInFlight_ = true;
+  count(S.Counters_, "advice-asked");
+  Out.Advice_.push_back(std::move(Call));
+}
+
+void placeStep(State &S, const StepId &Id, TimePoint Now, Outbox &Out) {
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  Step &P = *findStep(S, Id);
+  std::vector<std::uint32_t> Tasks = startable(P, Now);
+  if (Tasks.empty() || (Spec.Gang_ && Tasks.size() < P.Tasks_.size()))
+    return;
+  std::vector<Candidate> All = candidates(S, Id, Now);
+  if (All.empty())
+    return;
+  std::vector<Candidate> Left = All;
+  std::vector<Placed> Where = place(Spec, P, Tasks, Left);
+  bool Complete = Where.size() == Tasks.size();
+  if (!Where.empty() && (Complete || !Spec.Gang_))
+    startTasks(S, Id, Where, Now, Out);
+  if (!Complete)
+    askForAdvice(
+        S, Id, Spec.Gang_ ? All : Left,
+        std::uint32_t(Spec.Gang_ ? Tasks.size() : Tasks.size() - Where.size()),
+        Now, Out);
+}
+
+} // namespace
+
+void placeTasks(State &S, TimePoint Now, Outbox &Out) {
+  if (Now < S.PlaceNotBefore_)
+    return;
+  bool Revisit =
+      !S.Waiting_.empty() && Now >= S.PlaceNotBefore_ + RevisitInterval;
+  if (!S.PlaceWanted_ && !Revisit)
+    return;
+  S.PlaceWanted_ = false;
+  S.PlaceNotBefore_ = Now + PlacementInterval;
+  for (const WaitingStep &W : orderWaiting(S, Now))
+    placeStep(S, W.Id_, Now, Out);
+}
+
+} // namespace detail
+
+void onAdvice(State &S, const AdviceCall &Call, const AdviceReply &Reply,
+              TimePoint Now) {
+  constexpr Milliseconds RetryInterval{150};
+  Step *P = detail::findStep(S, Call.Step_);
+  if (!P)
+    return;
+  P->AdviceInFlight_ = false;
+  S.PlaceWanted_ = true;
+  if (!Reply.Answered_) {
+    count(S.Counters_, "advice-no-answer");
+    P->AdviceNotBefore_ = Now + RetryInterval;
+    return;
+  }
+  const Job &J = S.Jobs_.at(Call.Step_.Job_);
+  Milliseconds Validity = Reply.Validity_;
+  if (Validity.count() == 0 && J.Queue_.Advice_)
+    Validity = Milliseconds(J.Queue_.Advice_->ValidityMs_);
+  for (const WorkerId &W : Call.Workers_)
+    if (!P->Permits_.count(W))
+      P->Denied_.insert(W);
+  for (const PermitRow &Row : Reply.Rows_) {
+    P->Denied_.erase(Row.Worker_);
+    P->Permits_[Row.Worker_] = {Row.Permit_, Now + Validity};
+  }
+}
+
+} // namespace pollenvale::scheduler
--- /dev/null
+++ b/packages/scheduler/src/placing.cpp
@@ -0,0 +1,115 @@
+#include "scheduler/detail/placing.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace pollenvale::scheduler::detail {
+
+namespace {
+
+/// A result later than this many objectives is worth nothing.
+constexpr int WorthlessAfter = 3;
+
+/// Cost of a task away from its data or where it failed, against room left.
+constexpr double RemoteCost = 10;
+constexpr double FailedHereCost = 100;
+
+double leftover(const Resources &Free, const Resources &Size,
+                const Resources &Capacity) {
+  auto Share = [](std::int64_t Left, std::int64_t Whole) {
+    return Whole > 0 ? double(Left) / double(Whole) : 0.0;
+  };
+  Resources Left = Free - Size;
+  // Accelerators are the scarcest: they are filled up first.
+  constexpr double AcceleratorWeight = 4;
+  return AcceleratorWeight * Share(Left.Accelerators_, Capacity.Accelerators_) +
+         Share(Left.Cpu_, Capacity.Cpu_) +
+         Share(Left.Memory_, Capacity.Memory_) / 4;
+}
+
+double costOf(const workflow::StepSpec &Spec, const Candidate &C,
+              const WorkerId &FailedOn) {
+  const WorkerInfo &Info = C.Worker_->Info_;
+  double Cost = leftover(C.Free_, workflow::chargedSize(Spec), Info.Capacity_);
+  if (!Spec.DataRack_.empty() && !Info.Labels_.count(Spec.DataRack_))
+    Cost += RemoteCost;
+  if (Info.Id_ == FailedOn)
+    Cost += FailedHereCost;
+  return Cost;
+}
+
+} // namespace
+
+WaitKey waitKey(const Job &J, const Step &, TimePoint Now) {
+  WaitKey Key;
+  auto Objective = J.DueAt_ - J.AcceptedAt_;
+  Key.Overdue_ = Now > J.DueAt_;
+  Key.Hopeless_ = Now > J.AcceptedAt_ + Objective * WorthlessAfter;
+  Key.Priority_ = J.Queue_.Priority_;
+  Key.DueAt_ = J.DueAt_;
+  Key.AcceptedAt_ = J.AcceptedAt_;
+  return Key;
+}
+
+std::uint32_t capacityFor(const workflow::StepSpec &Spec, const Candidate &C) {
+  Resources Size = workflow::chargedSize(Spec);
+  std::int64_t Most = std::numeric_limits<std::uint32_t>::max();
+  auto Limit = [&](std::int64_t Need, std::int64_t Free) {
+    if (Need > 0)
+      Most = std::min(Most, std::max<std::int64_t>(Free, 0) / Need);
+  };
+  Limit(Size.Cpu_, C.Free_.Cpu_);
+  Limit(Size.Memory_, C.Free_.Memory_);
+  Limit(Size.Accelerators_, C.Free_.Accelerators_);
+  if (Spec.MaxPerWorker_ > 0)
+    Most = std::min<std::int64_t>(
+        Most, Spec.MaxPerWorker_ > C.OnIt_ ? Spec.MaxPerWorker_ - C.OnIt_ : 0);
+  return std::uint32_t(std::min<std::int64_t>(Most, Spec.Count_));
+}
+
+std::optional<std::size_t> chooseWorker(const workflow::StepSpec &Spec,
+                                        const std::vector<Candidate> &All,
+                                        const WorkerId &FailedOn) {
+  std::optional<std::size_t> Best;
+  double BestCost = 0;
+  for (std::size_t I = 0; I < All.size(); ++I) {
+    if (!All[I].Permitted_ || capacityFor(Spec, All[I]) == 0)
+      continue;
+    double Cost = costOf(Spec, All[I], FailedOn);
+    if (Best && Cost >= BestCost)
+      continue;
+    Best = I;
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+std::vector<WorkerId> chooseForAdvice(const workflow::StepSpec &Spec,
+                                      const std::vector<Candidate> &All,
+                                      std::uint32_t Tasks) {
+  /// The policy allows a part of the workers only; more than needed are named.
+  constexpr std::uint32_t NamedPerNeeded = 3;
+  constexpr std::size_t MaxNamed = 30;
+  std::vector<const Candidate *> Order;
+  for (const Candidate &C : All)
+    if (!C.Permitted_ && capacityFor(Spec, C) > 0)
+      Order.push_back(&C);
+  std::stable_sort(Order.begin(), Order.end(),
+                   [&](const Candidate *A, const Candidate *B) {
+                     if (A->Allowed_ != B->Allowed_)
+                       return A->Allowed_;
+                     return costOf(Spec, *A, {}) < costOf(Spec, *B, {});
+                   });
+  std::vector<WorkerId> Out;
+  std::uint64_t Certain = 0, Hoped = 0;
+  for (const Candidate *C : Order) {
+    if (Certain >= Tasks || Hoped >= std::uint64_t(Tasks) * NamedPerNeeded ||
+        Out.size() >= MaxNamed)
+      break;
+    Out.push_back(C->Worker_->Info_.Id_);
+    (C->Allowed_ ? Certain : Hoped) += capacityFor(Spec, *C);
+  }
+  return Out;
+}
+
+} // namespace pollenvale::scheduler::detail
--- /dev/null
+++ b/packages/scheduler/src/workers.cpp
@@ -0,0 +1,293 @@
+#include "scheduler/detail/tasks.hpp"
+#include "scheduler/scheduler.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::scheduler {
+
+using detail::findJob;
+using detail::findTask;
+
+namespace detail {
+
+namespace {
+
+/// A worker asked once in this time keeps its lease and tells its clock.
+constexpr Milliseconds IdleHoldInterval{1'500};
+/// How long a worker with tasks may keep a hold waiting for an end.
+constexpr Milliseconds BusyHoldWait{1'000};
+constexpr Milliseconds HoldSpacing{10};
+constexpr Milliseconds HoldRetryInterval{200};
+/// Limit for storing ends before the worker is asked again.
+constexpr Milliseconds StoreWait{250};
+/// A worker's clock may be slow by this share; leases last longer for it.
+constexpr double ClockDrift = 0.02;
+constexpr Milliseconds LeaseMargin{250};
+constexpr unsigned MissesBeforeAvoiding = 2;
+
+} // namespace
+
+Milliseconds clockOf(const Worker &W, TimePoint Now) {
+  return W.Clock_ + elapsed(W.ClockAt_, Now);
+}
+
+Target targetOf(const State &S, const Worker &W) {
+  return {W.Info_.Id_, W.Info_.Address_, S.Options_.Token_};
+}
+
+Resources freeRoom(const Worker &W) {
+  return W.Info_.Capacity_ - W.Used_ - W.Unclaimed_;
+}
+
+bool takesTasks(const Worker &W, TimePoint Now) {
+  return W.Listed_ && W.Rostered_ && W.Known_ && !W.Info_.Draining_ &&
+         W.Misses_ < MissesBeforeAvoiding && Now >= W.AvoidUntil_;
+}
+
+void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now) {
+  Length = std::min(Length, S.Options_.MaxLease_);
+  auto Longest =
+      Milliseconds(std::int64_t(double(Length.count()) * (1 + ClockDrift)));
+  W.LeaseEndsAt_ = std::max(W.LeaseEndsAt_, Now + Longest + LeaseMargin);
+}
+
+void planHolds(State &S, TimePoint Now, Outbox &Out) {
+  for (auto &[Id, W] : S.Workers_) {
+    if (W.HoldInFlight_ || Now < W.HoldDueAt_ || !W.Rostered_)
+      continue;
+    HoldCall Call{targetOf(S, W), W.StoredEnd_};
+    if (W.Known_) {
+      Call.LeaseUntil_ = clockOf(W, Now) + S.Options_.Lease_;
+      extendLease(S, W, S.Options_.Lease_, Now);
+      if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_ && W.Misses_ == 0)
+        Call.Wait_ = BusyHoldWait;
+    }
+    W.HoldInFlight_ = true;
+    Out.Holds_.push_back(std::move(Call));
+  }
+}
+
+void checkLeases(State &S, TimePoint Now, Outbox &Out) {
+  for (auto It = S.Workers_.begin(); It != S.Workers_.end();) {
+    Worker &W = It->second;
+    bool Lapsed = Now > W.LeaseEndsAt_;
+    if (Lapsed && W.Misses_ > 0)
+      loseTasks(S, W, Now, Out, "lease");
+    if (Lapsed && !W.Listed_ && W.Tasks_.empty() && !W.HoldInFlight_ &&
+        !S.Unaccounted_.count(It->first)) {
+      It = S.Workers_.erase(It);
+      S.RosterDirty_ = true;
+    } else {
+      ++It;
+    }
+  }
+}
+
+void checkInheritance(State &S, TimePoint Now, Outbox &Out) {
+  if (!S.InheritanceOpen_)
+    return;
+  if (Now >= S.Options_.InheritedLeasesEndAt_)
+    S.Unaccounted_.clear();
+  if (!S.Unaccounted_.empty())
+    return;
+  S.InheritanceOpen_ = false;
+  S.PlaceWanted_ = true;
+  Out.Notes_.push_back(
+      {"inheritance-settled",
+       {{"after_ms", elapsed(S.Options_.ClaimedAt_, Now).count()}}});
+  for (auto &[Id, J] : S.Jobs_)
+    for (auto &[Number, O] : J.Open_)
+      for (std::uint32_t P = 0; P < O.Steps_.size(); ++P)
+        reconcileGang(S, {Id, Number, P});
+}
+
+namespace {
+
+void account(State &S, const WorkerId &Id) { S.Unaccounted_.erase(Id); }
+
+/// Takes over a run that an earlier owner started.
+void adopt(State &S, Worker &W, const RunningTask &R, TimePoint Now) {
+  const workflow::StepSpec *Spec = findSpec(S, R.Task_.Step_);
+  Run Adopted;
+  Adopted.Number_ = R.Run_;
+  Adopted.Worker_ = W.Info_.Id_;
+  Adopted.Phase_ = RunPhase::Running;
+  Adopted.Charged_ = workflow::chargedSize(*Spec);
+  Adopted.StartedAt_ = Now;
+  Adopted.SettledAt_ = Now;
+  Adopted.AdvancedAt_ = Now;
+  attachRun(S, R.Task_, std::move(Adopted));
+  count(S.Counters_, "run-adopted");
+  refreshWaiting(S, R.Task_.Step_);
+}
+
+bool isOpenTask(State &S, const TaskId &Id) {
+  Job *J = findJob(S, Id.Step_.Job_);
+  Task *T = findTask(S, Id);
+  return J && T && !T->Done_ && !workflow::isClosed(J->State_);
+}
+
+void refreshRun(Task &T, const RunningTask &R, TimePoint Now) {
+  Run &X = *T.Run_;
+  if (X.Phase_ == RunPhase::Starting && !X.InFlight_) {
+    X.Phase_ = RunPhase::Running;
+    X.SettledAt_ = Now;
+  }
+  if (R.Percent_ > X.Percent_) {
+    X.Percent_ = R.Percent_;
+    X.AdvancedAt_ = Now;
+  }
+  if (!R.Checkpoint_.empty())
+    T.Checkpoint_ = R.Checkpoint_;
+}
+
+void applyRunning(State &S, Worker &W, const HoldReply &Reply, bool First,
+                  TimePoint Now, Outbox &Out) {
+  W.Unclaimed_ = {};
+  for (const RunningTask &R : Reply.Running_) {
+    Task *T = findTask(S, R.Task_);
+    bool Mine = T && T->Run_ && T->Run_->Worker_ == W.Info_.Id_ &&
+                T->Run_->Number_ == R.Run_;
+    if (!Mine && First && isOpenTask(S, R.Task_) && !T->Run_) {
+      adopt(S, W, R, Now);
+      Mine = true;
+    }
+    if (Mine) {
+      refreshRun(*T, R, Now);
+      if (!R.Checkpoint_.empty())
+        findStep(S, R.Task_.Step_)->GangCheckpoint_ = R.Checkpoint_;
+      continue;
+    }
+    count(S.Counters_, "run-unclaimed");
+    if (const workflow::StepSpec *Spec = findSpec(S, R.Task_.Step_))
+      W.Unclaimed_ += workflow::chargedSize(*Spec);
+    Out.Stops_.push_back({targetOf(S, W), R.Task_, R.Run_});
+  }
+}
+
+/// Runs that a list asked for after they were settled lacks have ended.
+void dropAbsent(State &S, Worker &W, const HoldReply &Reply, TimePoint SentAt) {
+  std::set<TaskId> Listed;
+  for (const RunningTask &R : Reply.Running_)
+    Listed.insert(R.Task_);
+  std::set<TaskId> Tasks = W.Tasks_;
+  for (const TaskId &Id : Tasks) {
+    Task *T = findTask(S, Id);
+    if (Listed.count(Id) || !T || !T->Run_ || T->Run_->InFlight_)
+      continue;
+    if (!T->Run_->SettledAt_ || *T->Run_->SettledAt_ >= SentAt)
+      continue;
+    count(S.Counters_, "run-absent");
+    detachRun(S, Id);
+    reconcileGang(S, Id.Step_);
+  }
+}
+
+void onMiss(State &S, Worker &W, TimePoint Now) {
+  ++W.Misses_;
+  count(S.Counters_, "hold-no-answer");
+  W.HoldDueAt_ = Now + HoldRetryInterval;
+}
+
+void onLife(State &S, Worker &W, const HoldReply &Reply) {
+  if (W.Known_ && W.Life_ == Reply.BornUnixMs_)
+    return;
+  if (W.Known_)
+    count(S.Counters_, "worker-reborn");
+  W.Life_ = Reply.BornUnixMs_;
+  W.SeenEnd_ = W.StoredEnd_ = 0;
+  W.FailuresInRow_ = 0;
+}
+
+void planNextHold(State &S, Worker &W, TimePoint Now) {
+  if (W.SeenEnd_ > W.StoredEnd_)
+    W.HoldDueAt_ = Now + StoreWait;
+  else if (!W.Tasks_.empty())
+    W.HoldDueAt_ = Now + HoldSpacing;
+  else
+    W.HoldDueAt_ = Now + IdleHoldInterval;
+  (void)S;
+}
+
+} // namespace
+
+} // namespace detail
+
+void onWorker(State &S, const WorkerInfo &Info, TimePoint Now) {
+  auto [It, New] = S.Workers_.try_emplace(Info.Id_);
+  Worker &W = It->second;
+  bool Moved = !New && W.Info_.Address_ != Info.Address_;
+  if (New) {
+    S.RosterDirty_ = true;
+    W.HoldDueAt_ = Now;
+  }
+  if (Moved || (!New && W.Info_.BornUnixMs_ != Info.BornUnixMs_))
+    W.HoldDueAt_ = Now;
+  if (New || !W.Listed_ || W.Info_.Draining_ != Info.Draining_)
+    S.PlaceWanted_ = true;
+  W.Info_ = Info;
+  W.Listed_ = true;
+}
+
+void onWorkerGone(State &S, const WorkerId &Id, TimePoint) {
+  auto It = S.Workers_.find(Id);
+  if (It == S.Workers_.end())
+    return;
+  It->second.Listed_ = false;
+}
+
+void onHold(State &S, const HoldCall &Call, const HoldReply &Reply,
+            TimePoint SentAt, TimePoint Now, Outbox &Out) {
+  auto It = S.Workers_.find(Call.To_.Worker_);
+  if (It == S.Workers_.end())
+    return;
+  Worker &W = It->second;
+  W.HoldInFlight_ = false;
+  if (Reply.Status_ == CallStatus::Fenced) {
+    S.Fenced_ = true;
+    return;
+  }
+  if (Reply.Status_ == CallStatus::Elsewhere) {
+    // Its address belongs to another worker: this one has ended.
+    detail::account(S, Call.To_.Worker_);
+    W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
+    detail::loseTasks(S, W, Now, Out, "replaced");
+    detail::onMiss(S, W, Now);
+    W.HoldDueAt_ = Now + Milliseconds(1'000);
+    return;
+  }
+  if (Reply.Status_ != CallStatus::Done) {
+    detail::onMiss(S, W, Now);
+    return;
+  }
+  W.Misses_ = 0;
+  W.Clock_ = Reply.Clock_;
+  W.ClockAt_ = Now;
+  bool First = !W.Known_;
+  detail::onLife(S, W, Reply);
+  W.Known_ = true;
+  for (const EndedTask &End : Reply.Ended_) {
+    if (End.Number_ <= W.SeenEnd_)
+      continue;
+    W.SeenEnd_ = End.Number_;
+    S.AcksDirty_ = true;
+    detail::applyEnd(S, Call.To_.Worker_, End, Now, Out);
+  }
+  detail::applyRunning(S, W, Reply, First, Now, Out);
+  detail::dropAbsent(S, W, Reply, SentAt);
+  detail::adjustPace(S, W, Reply, Out);
+  detail::account(S, Call.To_.Worker_);
+  if (First) {
+    S.PlaceWanted_ = true;
+    Out.Notes_.push_back({"worker-known",
+                          {{"worker", Call.To_.Worker_},
+                           {"running", Reply.Running_.size()},
+                           {"ended", Reply.Ended_.size()}}});
+  }
+  detail::planNextHold(S, W, Now);
+  // The lease begins with the first answer that tells the worker's clock.
+  if (!Call.LeaseUntil_)
+    W.HoldDueAt_ = Now;
+}
+
+} // namespace pollenvale::scheduler
--- /dev/null
+++ b/packages/scheduler/src/writes.cpp
@@ -0,0 +1,108 @@
+#include "scheduler/detail/tasks.hpp"
+#include "scheduler/scheduler.hpp"
+
+namespace pollenvale::scheduler {
+
+namespace detail {
+
+namespace {
+
+/// Writes are spaced so that several ends share one.
+constexpr Milliseconds WriteInterval{15};
+/// A write that was refused is tried again after this time.
+constexpr Milliseconds WriteRetryInterval{200};
+constexpr std::size_t MaxRecordsPerWrite = 200;
+
+void acknowledge(State &S, const PendingAck &Ack, TimePoint Now) {
+  auto It = S.Workers_.find(Ack.Worker_);
+  if (It == S.Workers_.end() || It->second.Life_ != Ack.Life_)
+    return;
+  Worker &W = It->second;
+  W.StoredEnd_ = std::max(W.StoredEnd_, Ack.End_);
+  if (W.SeenEnd_ == W.StoredEnd_ && W.Misses_ == 0)
+    W.HoldDueAt_ = Now;
+}
+
+std::vector<PendingAck> collectAcks(const State &S) {
+  std::vector<PendingAck> Out;
+  for (const auto &[Id, W] : S.Workers_)
+    if (W.SeenEnd_ > W.StoredEnd_)
+      Out.push_back({Id, W.Life_, W.SeenEnd_});
+  return Out;
+}
+
+ledger::KeyedRecord rosterRecord(const State &S) {
+  std::set<WorkerId> All = S.Unaccounted_;
+  for (const auto &[Id, W] : S.Workers_)
+    All.insert(Id);
+  return ledger::makeRoster({{All.begin(), All.end()}});
+}
+
+} // namespace
+
+void planWrites(State &S, TimePoint Now, Outbox &Out) {
+  if (S.Writing_ || Now < S.WriteNotBefore_)
+    return;
+  PendingWrite Pending{S.NextWrite_};
+  WriteCall Call{S.NextWrite_};
+  if (S.RosterDirty_) {
+    S.RosterDirty_ = false;
+    Call.Records_.push_back(rosterRecord(S));
+    for (const auto &[Id, W] : S.Workers_)
+      Pending.Roster_.push_back(Id);
+    Pending.HasRoster_ = true;
+  }
+  while (!S.Dirty_.empty() && Call.Records_.size() < MaxRecordsPerWrite) {
+    JobId Id = *S.Dirty_.begin();
+    S.Dirty_.erase(S.Dirty_.begin());
+    Job &J = S.Jobs_.at(Id);
+    J.Dirty_ = false;
+    Call.Records_.push_back(ledger::makeProgress(Id, makeProgress(J)));
+  }
+  // Ends count as stored once everything that they changed is.
+  if (S.AcksDirty_ && S.Dirty_.empty()) {
+    S.AcksDirty_ = false;
+    Pending.Acks_ = collectAcks(S);
+  }
+  if (Call.Records_.empty()) {
+    for (const PendingAck &Ack : Pending.Acks_)
+      acknowledge(S, Ack, Now);
+    return;
+  }
+  ++S.NextWrite_;
+  S.Writing_ = std::move(Pending);
+  Out.Writes_.push_back(std::move(Call));
+}
+
+} // namespace detail
+
+void onWrite(State &S, std::uint64_t Id, bool Stored, TimePoint Now) {
+  if (!S.Writing_ || S.Writing_->Id_ != Id)
+    return;
+  PendingWrite Pending = std::move(*S.Writing_);
+  S.Writing_.reset();
+  if (!Stored) {
+    // Everything is written anew, from the state as it is then.
+    count(S.Counters_, "write-refused");
+    S.WriteNotBefore_ = Now + detail::WriteRetryInterval;
+    S.RosterDirty_ = S.RosterDirty_ || Pending.HasRoster_;
+    S.AcksDirty_ = true;
+    for (auto &[JobName, J] : S.Jobs_)
+      if (!workflow::isClosed(J.State_) ||
+          J.ClosedAt_ + Milliseconds(60'000) > Now)
+        detail::markDirty(S, J);
+    return;
+  }
+  S.WriteNotBefore_ = Now + detail::WriteInterval;
+  for (const WorkerId &W : Pending.Roster_) {
+    auto It = S.Workers_.find(W);
+    if (It == S.Workers_.end() || It->second.Rostered_)
+      continue;
+    It->second.Rostered_ = true;
+    It->second.HoldDueAt_ = Now;
+  }
+  for (const PendingAck &Ack : Pending.Acks_)
+    detail::acknowledge(S, Ack, Now);
+}
+
+} // namespace pollenvale::scheduler
--- a/packages/platform/src/platform.cpp
+++ b/packages/standin_wire/src/standin_wire.cpp
@@ -1,6 +1,6 @@
-#include "platform/platform.hpp"
+#include "standin_wire/standin_wire.hpp"
 
-namespace pollenvale::platform {
+namespace pollenvale::standin_wire {
 
 using nlohmann::json;
 using peering::WorkerOp;
@@ -173,4 +173,4 @@
   }
 }
 
-} // namespace pollenvale::platform
+} // namespace pollenvale::standin_wire
--- a/packages/platform/platform.hpp
+++ b/packages/standin_wire/standin_wire.hpp
@@ -1,7 +1,7 @@
 /// \file
-/// JSON forms of the platform's interfaces: log service, VM list, workers and
-/// instances. docs/PLATFORM.md describes them. A platform that differs changes
-/// this package only.
+/// JSON forms of the stand-ins' interfaces: log service, VM list, workers and
+/// instances. docs/PLATFORM.md describes them. The users' platform
+/// itself is spoken to by the folder platform/.
 #pragma once
 
 #include "membership/membership.hpp"
@@ -9,7 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace pollenvale::platform {
+namespace pollenvale::standin_wire {
 
 nlohmann::json toJson(const peering::WorkerCall &Call);
 /// Path below the worker's address, such as "/renew".
@@ -28,4 +28,4 @@
 /// Errors: BadJson.
 Result<membership::VmList> parseVmList(const std::string &Body);
 
-} // namespace pollenvale::platform
+} // namespace pollenvale::standin_wire
--- /dev/null
+++ b/packages/workflow/src/spec.cpp
@@ -0,0 +1,89 @@
+#include "workflow/workflow.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::workflow {
+
+namespace {
+
+Error bad(std::size_t Step, const std::string &What) {
+  return makeError(ErrorKind::BadSpec,
+                   "steps[" + std::to_string(Step) + "]." + What);
+}
+
+Result<bool> checkStep(const WorkflowSpec &Spec, std::size_t I) {
+  const StepSpec &S = Spec.Steps_[I];
+  if (S.Count_ == 0 || S.Count_ > MaxTasksPerStep)
+    return bad(I, "count: " + std::to_string(S.Count_) + " is not 1 to " +
+                      std::to_string(MaxTasksPerStep));
+  if (S.Size_.Cpu_ < 0 || S.Size_.Memory_ < 0 || S.Size_.Accelerators_ < 0)
+    return bad(I, "size: negative");
+  for (std::uint32_t Earlier : S.After_)
+    if (Earlier >= I)
+      return bad(I, "after: " + std::to_string(Earlier) +
+                        " is not an earlier step");
+  return true;
+}
+
+} // namespace
+
+Result<bool> check(const WorkflowSpec &Spec) {
+  if (Spec.Payload_.size() > MaxPayloadBytes)
+    return makeError(ErrorKind::BadSpec,
+                     "spec: " + std::to_string(Spec.Payload_.size()) +
+                         " bytes, at most " + std::to_string(MaxPayloadBytes));
+  if (Spec.Steps_.empty() || Spec.Steps_.size() > MaxSteps)
+    return makeError(ErrorKind::BadSpec,
+                     "steps: " + std::to_string(Spec.Steps_.size()) +
+                         " is not 1 to " + std::to_string(MaxSteps));
+  if (Spec.Repeats_ > MaxRepeats)
+    return makeError(ErrorKind::BadSpec,
+                     "repeats: " + std::to_string(Spec.Repeats_) +
+                         ", at most " + std::to_string(MaxRepeats));
+  for (std::size_t I = 0; I < Spec.Steps_.size(); ++I)
+    if (auto Ok = checkStep(Spec, I); !Ok)
+      return Ok;
+  return true;
+}
+
+Resources chargedSize(const StepSpec &Step) {
+  Resources Size = Step.Size_;
+  if (Step.Filler_)
+    Size.Cpu_ = 0;
+  return Size;
+}
+
+std::uint32_t occurrences(const WorkflowSpec &Spec) {
+  return std::max<std::uint32_t>(1, Spec.Repeats_);
+}
+
+Milliseconds longestChain(const WorkflowSpec &Spec) {
+  std::vector<std::uint64_t> EndMs(Spec.Steps_.size(), 0);
+  std::uint64_t Longest = 0;
+  for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
+    std::uint64_t Begin = 0;
+    for (std::uint32_t Earlier : Spec.Steps_[I].After_)
+      Begin = std::max(Begin, EndMs[Earlier]);
+    EndMs[I] = Begin + Spec.Steps_[I].EstimateMs_;
+    Longest = std::max(Longest, EndMs[I]);
+  }
+  return Milliseconds(Longest);
+}
+
+std::string_view toString(JobState State) {
+  switch (State) {
+  case JobState::Queued:
+    return "queued";
+  case JobState::Running:
+    return "running";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "queued";
+}
+
+} // namespace pollenvale::workflow
--- a/tests/harness/worker_model.cpp
+++ b/tests/harness/worker_model.cpp
@@ -1,6 +1,6 @@
 #include "worker_model.hpp"
 
-#include "platform/platform.hpp"
+#include "standin_wire/standin_wire.hpp"
 
 namespace pollenvale::harness {
 
@@ -139,7 +139,7 @@
     Out["address"] = R.Address_;
   for (const auto &T : R.Tasks_) {
     Out["tasks"].push_back({{"attempt", toString(T.Attempt_)},
-                            {"task", platform::toJson(T.Task_)},
+                            {"task", standin_wire::toJson(T.Task_)},
                             {"state", workers::toString(T.State_)},
                             {"reason", T.Reason_},
                             {"address", T.Address_}});
--- a/tests/standins/log.cpp
+++ b/tests/standins/log.cpp
@@ -4,8 +4,8 @@
 /// answer,
 /// {"keep": N} trims.
 #include "harness/log_model.hpp"
-#include "platform/platform.hpp"
 #include "standin.hpp"
+#include "standin_wire/standin_wire.hpp"
 
 #include <condition_variable>
 
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -3,8 +3,8 @@
 /// the third the address prefix of instances. GET /stats tells what ran and
 /// every breach that it saw.
 #include "harness/worker_model.hpp"
-#include "platform/platform.hpp"
 #include "standin.hpp"
+#include "standin_wire/standin_wire.hpp"
 
 #include <fstream>
 
@@ -67,7 +67,7 @@
                     peering::WorkerOp::Release, peering::WorkerOp::Start,
                     peering::WorkerOp::Stop, peering::WorkerOp::Checkpoint,
                     peering::WorkerOp::Throttle})
-    if (platform::pathOf(Kind) == Op)
+    if (standin_wire::pathOf(Kind) == Op)
       Call.Op_ = Kind;
   Call.Holder_ = Doc.value("holder", "");
   Call.Token_ = Doc.value("token", Token(0));
@@ -77,7 +77,7 @@
   if (Doc.contains("attempt"))
     Call.Attempt_ = parseAttemptId(Doc["attempt"]);
   if (Doc.contains("task"))
-    Call.Task_ = platform::parseTask(Doc["task"]);
+    Call.Task_ = standin_wire::parseTask(Doc["task"]);
   for (const json &Id : Doc.value("forget", json::array()))
     Call.Forget_.push_back(parseAttemptId(Id));
   return Call;
@@ -114,7 +114,7 @@
     return 2;
   }
   std::ifstream In(Values[2]);
-  auto Vms = platform::parseVmList(
+  auto Vms = standin_wire::parseVmList(
       std::string(std::istreambuf_iterator<char>(In), {}));
   for (const membership::Vm &V : Vms.value().Vms_) {
     if (V.Entry_)
