--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds CopyWait{1'000};
 constexpr Milliseconds OwnerSpacing{4};
 constexpr Milliseconds ClaimWait{700};
-constexpr Milliseconds ConfigWait{10'000};
+constexpr Milliseconds ConfigWait{1'000};
 constexpr Milliseconds WorkerSpacing{250};
 /// Time that a stopping entry keeps answering while the balancer notices.
 constexpr Milliseconds StopLinger{3'500};
--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -17,6 +17,8 @@
   std::string Body_;
   std::vector<std::string> Headers_; ///< "Name: value".
   std::chrono::milliseconds Timeout_{3'000};
+  /// Limit of opening a connection, within Timeout_; 0 for none of its own.
+  std::chrono::milliseconds ConnectTimeout_{0};
   /// Uses a connection of its own. libcurl silently repeats a request whose
   /// reused connection breaks before the first byte of the answer; work that
   /// must not run twice is therefore sent on a fresh one.
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -39,10 +39,11 @@
   case CURLE_PARTIAL_FILE:
     return ClientStatus::Truncated;
   case CURLE_OPERATION_TIMEDOUT: {
-    // Without a connection no byte can have left.
-    curl_off_t Connected = 0;
-    curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &Connected);
-    return Connected == 0 ? ClientStatus::NotSent : ClientStatus::Timeout;
+    // A connection that is used again has no connect time: only the bytes
+    // written tell whether the request may have arrived.
+    long Written = 0;
+    curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Written);
+    return Written == 0 ? ClientStatus::NotSent : ClientStatus::Timeout;
   }
   default:
     return ClientStatus::Lost;
@@ -74,6 +75,9 @@
   curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, T.Headers_);
   curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, long(Call.Timeout_.count()));
+  if (Call.ConnectTimeout_.count() > 0)
+    curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     long(Call.ConnectTimeout_.count()));
   curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Call.Fresh_ ? 1L : 0L);
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -36,8 +36,7 @@
 
 struct Task {
   bool Done_ = false;
-  std::uint32_t Failures_ = 0;
-  std::uint32_t LastFailedRun_ = 0;
+  std::set<std::uint32_t> FailedRuns_; ///< Attempts used up.
   std::uint32_t LastRun_ = 0;
   WorkerId FailedOn_; ///< Where it failed last.
   std::string Checkpoint_;
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -41,8 +41,8 @@
   for (std::uint32_t I = 0; I < P.Tasks_.size(); ++I) {
     const Task &T = P.Tasks_[I];
     Out.Done_.push_back(T.Done_);
-    if (T.Failures_ > 0)
-      Out.Failures_.push_back({I, T.Failures_, T.LastFailedRun_});
+    if (!T.FailedRuns_.empty())
+      Out.Failures_.push_back({I, T.FailedRuns_});
   }
   return Out;
 }
@@ -54,10 +54,8 @@
       ++P.DoneCount_;
     }
   for (const workflow::TaskFailures &F : Stored.Failures_)
-    if (F.Index_ < P.Tasks_.size()) {
-      P.Tasks_[F.Index_].Failures_ = F.Count_;
-      P.Tasks_[F.Index_].LastFailedRun_ = F.LastRun_;
-    }
+    if (F.Index_ < P.Tasks_.size())
+      P.Tasks_[F.Index_].FailedRuns_ = F.Runs_;
 }
 
 } // namespace
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -120,12 +120,10 @@
   const workflow::StepSpec &Spec = J.Spec_.Steps_[Id.Step_];
   Step *P = findStep(S, Id);
   Task &T = P->Tasks_[Spec.Gang_ ? 0 : End.Task_.Index_];
-  if (Spec.LongRunning_ || T.Done_ || End.Run_ <= T.LastFailedRun_)
+  if (Spec.LongRunning_ || T.Done_ || !T.FailedRuns_.insert(End.Run_).second)
     return;
-  T.LastFailedRun_ = End.Run_;
-  ++T.Failures_;
   markDirty(S, J);
-  if (T.Failures_ >= J.Queue_.MaxAttempts_)
+  if (T.FailedRuns_.size() >= J.Queue_.MaxAttempts_)
     closeJob(S, J, workflow::JobState::Failed, Now);
 }
 
--- a/packages/workflow/detail/progress.hpp
+++ b/packages/workflow/detail/progress.hpp
@@ -4,6 +4,8 @@
 
 #include "workflow/detail/spec.hpp"
 
+#include <set>
+
 namespace pollenvale::workflow {
 
 enum class JobState { Queued, Running, Completed, Failed, Cancelled };
@@ -16,9 +18,8 @@
 /// Failed attempts of one task. A gang counts as its task 0.
 struct TaskFailures {
   std::uint32_t Index_ = 0;
-  std::uint32_t Count_ = 0;
-  std::uint32_t LastRun_ = 0; ///< Highest run that is counted.
-  MSGPACK_DEFINE(Index_, Count_, LastRun_)
+  std::set<std::uint32_t> Runs_; ///< A run that is listed twice counts once.
+  MSGPACK_DEFINE(Index_, Runs_)
 };
 
 struct StepProgress {
