--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -56,6 +56,7 @@
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
     Pool_ = advice::makePool(Claims_.Options_.Address_);
     Intake_.Store_ = &Client_;
+    Intake_.Clock_ = now;
   }
 
   void run() {
@@ -475,7 +476,7 @@
     case intake::Outcome::Rejected:
       break;
     }
-    return platform::errorReply(A.Error_);
+    return platform::errorReply(A.Error_, A.RetryAfter_);
   }
 
   // --- event loop ------------------------------------------------------------
--- /dev/null
+++ b/packages/advice/tests/unit-pool.cpp
@@ -0,0 +1,79 @@
+/// Calls to the placement policy, spread over the entries.
+#include "advice/advice.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::advice;
+
+namespace {
+
+constexpr TimePoint T0{std::chrono::seconds(10)};
+
+AdviceCall call(int Priority, int Ms) {
+  AdviceCall C;
+  C.Priority_ = Priority;
+  C.Expected_ = Milliseconds(Ms);
+  return C;
+}
+
+Pool sixEntries() {
+  Pool P = makePool("c");
+  setPeers(P, {"a", "b", "d", "e", "f"});
+  return P;
+}
+
+} // namespace
+
+Test(pool, long_calls_leave_entries_for_short_ones) {
+  Pool P = sixEntries();
+  for (int I = 0; I < 10; ++I)
+    enqueue(P, call(0, 500), T0);
+  cr_assert_eq(dispatch(P, T0).size(), 4u);
+  enqueue(P, call(2, 20), T0);
+  auto Short = dispatch(P, T0);
+  cr_assert_eq(Short.size(), 1u);
+  cr_assert(Short[0].Helper_ == "a" || Short[0].Helper_ == "b");
+}
+
+Test(pool, the_most_urgent_call_goes_first) {
+  Pool P = makePool("a");
+  enqueue(P, call(2, 500), T0);
+  enqueue(P, call(0, 400), T0);
+  auto First = dispatch(P, T0);
+  cr_assert_eq(First.size(), 1u);
+  cr_assert_eq(First[0].Call_.Priority_, 0);
+}
+
+Test(pool, a_peer_without_an_answer_is_left_alone) {
+  Pool P = makePool("b");
+  setPeers(P, {"a"});
+  enqueue(P, call(0, 20), T0);
+  enqueue(P, call(0, 20), T0);
+  dispatch(P, T0);
+  TimePoint Later = T0 + Milliseconds(2'000);
+  cr_assert_eq(expire(P, Later).size(), 2u);
+  for (int I = 0; I < 3; ++I)
+    enqueue(P, call(0, 20), Later);
+  for (const Dispatch &D : dispatch(P, Later))
+    cr_assert_eq(D.Helper_, "b");
+}
+
+Test(pool, an_answer_after_the_time_is_left_out) {
+  Pool P = makePool("a");
+  enqueue(P, call(0, 20), T0);
+  CallId Id = dispatch(P, T0).at(0).Id_;
+  expire(P, T0 + Milliseconds(5'000));
+  cr_assert_not(finish(P, Id, true, T0));
+}
+
+Test(pool, messages_are_read_back) {
+  AskMessage Ask{7, "a:1", "job.0.1", {"w1", "w2"}};
+  Message M = decode(encode(Ask));
+  cr_assert_eq(std::get<AskMessage>(M).Workers_.size(), 2u);
+  TellMessage Tell{7, true, {{"w1", "permit"}}, 2'000};
+  cr_assert_eq(std::get<TellMessage>(decode(encode(Tell))).Rows_[0].Permit_,
+               "permit");
+  for (const char *Bad : {"", "x", "a\x01", "t"})
+    cr_assert(std::holds_alternative<std::monostate>(decode(Bad)));
+}
--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -5,6 +5,7 @@
 
 #include "intake/detail/partition.hpp"
 
+#include <functional>
 #include <list>
 #include <map>
 
@@ -21,6 +22,7 @@
   Outcome Outcome_ = Outcome::Rejected;
   workflow::JobState State_ = workflow::JobState::Queued;
   Error Error_{ErrorKind::LogUnavailable, {}};
+  std::chrono::seconds RetryAfter_{1}; ///< When a rejected caller may return.
 };
 using Reply = std::function<void(Answer)>;
 
@@ -34,11 +36,31 @@
   Reply Reply_;
 };
 
+/// A job or a cancellation on its way into the store. It is stored when the
+/// store says so or when the copy shows it, and may be sent any number of
+/// times.
+struct PendingWrite {
+  std::uint32_t Partition_ = 0;
+  JobId Job_;
+  bool Cancel_ = false;
+  ledger::KeyedRecord Record_;
+  TimePoint GiveUpAt_{};
+  /// A sending without an answer may still be stored.
+  bool MayBeStored_ = false;
+  bool InFlight_ = false;
+  bool Answered_ = false;
+  Reply Reply_;
+};
+
 struct Intake {
   ledger::Store *Store_ = nullptr;
+  std::function<TimePoint()> Clock_; ///< Time at which answers arrive.
   std::map<std::uint32_t, PartitionCopy> Partitions_;
   std::list<Waiter> Waiters_;
-  std::size_t InFlight_ = 0; ///< Appends whose answer is awaited.
+  std::list<std::shared_ptr<PendingWrite>> Writes_;
+  std::optional<TimePoint> OutageSince_; ///< The store has failed since then.
+  TimePoint LastFailureAt_{}; ///< Last append that the store did not carry out.
+  std::size_t InFlight_ = 0;  ///< Appends whose answer is awaited.
   Counters Counters_;
 };
 
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -11,7 +11,8 @@
 
 /// Kept back from a caller's deadline for the way of the answer.
 constexpr Milliseconds AnswerMargin{350};
-constexpr Milliseconds MaxAppendTime{2'000};
+constexpr Milliseconds MaxAppendTime{1'000};
+constexpr Milliseconds MinAppendTime{50};
 /// A store silent for this long takes no new jobs.
 constexpr Milliseconds SilenceLimit{2'600};
 
@@ -23,6 +24,19 @@
   return {Outcome::Rejected, {}, makeError(Kind, std::move(Message))};
 }
 
+/// Callers retry a few times only: the longer the store has been away, the
+/// later they are asked back. Half of them come a second later than the rest.
+Answer rejectedByOutage(const Intake &I, const JobId &Job, TimePoint Now,
+                        std::string Message) {
+  constexpr std::chrono::seconds Longest{3};
+  Answer A = rejected(ErrorKind::LogUnavailable, std::move(Message));
+  auto Lasting = std::chrono::duration_cast<std::chrono::seconds>(
+      I.OutageSince_ ? Now - *I.OutageSince_ : TimePoint::duration{});
+  A.RetryAfter_ = std::clamp(Lasting, std::chrono::seconds(1), Longest) +
+                  std::chrono::seconds(stableHash(Job) % 2);
+  return A;
+}
+
 const ledger::JobRow *find(const Intake &I, std::uint32_t Partition,
                            const JobId &Job) {
   auto It = I.Partitions_.find(Partition);
@@ -32,27 +46,80 @@
   return Row == It->second.Replica_.Jobs_.end() ? nullptr : &Row->second;
 }
 
-/// Answer to an append that carries one fact.
-Answer toAnswer(const AppendReply &R) {
-  if (R.Status_ == StoreStatus::Done)
-    return {Outcome::Stored};
-  if (R.Status_ == StoreStatus::NotDone)
-    return rejected(ErrorKind::LogUnavailable, "the store refused the record");
-  return rejected(ErrorKind::LogUnknown,
-                  "no answer from the store; the record may be stored");
+void answer(Intake &I, const std::shared_ptr<PendingWrite> &W, Answer A) {
+  if (W->Answered_)
+    return;
+  W->Answered_ = true;
+  I.Writes_.remove(W);
+  W->Reply_(std::move(A));
 }
 
-void append(Intake &I, std::uint32_t Partition, ledger::KeyedRecord Record,
-            const Times &T, Reply Done) {
+void send(Intake &I, const std::shared_ptr<PendingWrite> &W, TimePoint Now);
+
+void onAppended(Intake &I, const std::shared_ptr<PendingWrite> &W,
+                const AppendReply &R) {
+  --I.InFlight_;
+  W->InFlight_ = false;
+  if (R.Status_ == StoreStatus::Done)
+    return answer(I, W, {Outcome::Stored});
+  I.LastFailureAt_ = I.Clock_();
+  if (!I.OutageSince_)
+    I.OutageSince_ = I.LastFailureAt_;
+  if (R.Status_ != StoreStatus::NotDone)
+    W->MayBeStored_ = true;
+  // Nothing was stored and nothing can be: the caller may go elsewhere.
+  if (!W->MayBeStored_)
+    answer(I, W,
+           rejectedByOutage(I, W->Job_, I.LastFailureAt_,
+                            "the store refused the record"));
+}
+
+void send(Intake &I, const std::shared_ptr<PendingWrite> &W, TimePoint Now) {
   ledger::AppendCall Call;
-  Call.To_ = {JobTopic, Partition};
-  Call.Records_.push_back(std::move(Record));
-  Call.Timeout_ = std::min(MaxAppendTime, timeFor(T));
+  Call.To_ = {JobTopic, W->Partition_};
+  Call.Records_ = {W->Record_};
+  Call.Timeout_ =
+      std::clamp(elapsed(Now, W->GiveUpAt_), MinAppendTime, MaxAppendTime);
   ++I.InFlight_;
-  I.Store_->append(std::move(Call), [&I, Done](const AppendReply &R) {
-    --I.InFlight_;
-    Done(toAnswer(R));
-  });
+  W->InFlight_ = true;
+  I.Store_->append(std::move(Call),
+                   [&I, W](const AppendReply &R) { onAppended(I, W, R); });
+}
+
+void append(Intake &I, std::uint32_t Partition, const JobId &Job, bool Cancel,
+            ledger::KeyedRecord Record, const Times &T, Reply Done) {
+  auto W = std::make_shared<PendingWrite>();
+  W->Partition_ = Partition;
+  W->Job_ = Job;
+  W->Cancel_ = Cancel;
+  W->Record_ = std::move(Record);
+  W->GiveUpAt_ = T.Now_ + timeFor(T);
+  W->Reply_ = std::move(Done);
+  I.Writes_.push_back(W);
+  send(I, W, T.Now_);
+}
+
+bool isShown(const Intake &I, const PendingWrite &W) {
+  const ledger::JobRow *Row = find(I, W.Partition_, W.Job_);
+  return Row && (!W.Cancel_ || Row->Cancelled_);
+}
+
+/// Sends again what may or may not be stored, and gives up what is out of time.
+void pushWrites(Intake &I, TimePoint Now) {
+  auto Writes = I.Writes_;
+  for (const std::shared_ptr<PendingWrite> &W : Writes) {
+    if (isShown(I, *W)) {
+      answer(I, W, {Outcome::Stored});
+    } else if (Now >= W->GiveUpAt_) {
+      count(I.Counters_, "write-unanswered");
+      answer(I, W,
+             rejected(ErrorKind::LogUnknown,
+                      "no answer from the store; the record may be stored"));
+    } else if (!W->InFlight_ && isStoreReachable(I, Now)) {
+      count(I.Counters_, "write-resent");
+      send(I, W, Now);
+    }
+  }
 }
 
 void storeCancel(Intake &I, std::uint32_t Partition, const JobId &Job,
@@ -62,7 +129,7 @@
     return;
   }
   count(I.Counters_, "cancel");
-  append(I, Partition, ledger::makeCancel(Job), T, std::move(Done));
+  append(I, Partition, Job, true, ledger::makeCancel(Job), T, std::move(Done));
 }
 
 void answerKnown(Intake &I, const Waiter &W, const ledger::JobRow &Row,
@@ -88,11 +155,12 @@
 }
 
 bool isStoreReachable(const Intake &I, TimePoint Now) {
-  return std::any_of(I.Partitions_.begin(), I.Partitions_.end(),
-                     [&](const auto &P) {
-                       const ledger::Tail &T = P.second.Tail_;
-                       return Now - T.AnsweredAt_ < SilenceLimit;
-                     });
+  return std::any_of(
+      I.Partitions_.begin(), I.Partitions_.end(), [&](const auto &P) {
+        const ledger::Tail &T = P.second.Tail_;
+        return T.Reachable_ && T.AnsweredAt_ > I.LastFailureAt_ &&
+               Now - T.AnsweredAt_ < SilenceLimit;
+      });
 }
 
 void submit(Intake &I, const workflow::Queue &Q, const JobId &Job,
@@ -105,12 +173,15 @@
   }
   if (!isStoreReachable(I, T.Now_)) {
     count(I.Counters_, "submit-rejected-store");
-    Done(rejected(ErrorKind::LogUnavailable, "the store does not answer"));
+    if (!I.OutageSince_)
+      I.OutageSince_ = T.Now_;
+    Done(rejectedByOutage(I, Job, T.Now_, "the store does not answer"));
     return;
   }
   count(I.Counters_, "submit");
   ledger::AcceptedJob Record{Q, T.NowUnixMs_, std::move(Spec)};
-  append(I, Partition, ledger::makeJob(Job, Record), T, std::move(Done));
+  append(I, Partition, Job, false, ledger::makeJob(Job, Record), T,
+         std::move(Done));
 }
 
 void askState(Intake &I, const workflow::Queue &Q, const JobId &Job,
@@ -141,6 +212,9 @@
 }
 
 void onProgress(Intake &I, std::uint32_t Partition, TimePoint Now) {
+  if (isStoreReachable(I, Now))
+    I.OutageSince_.reset();
+  pushWrites(I, Now);
   const PartitionCopy &Copy = I.Partitions_.at(Partition);
   for (auto It = I.Waiters_.begin(); It != I.Waiters_.end();) {
     const ledger::JobRow *Row =
@@ -161,6 +235,7 @@
 }
 
 void tick(Intake &I, TimePoint Now) {
+  pushWrites(I, Now);
   for (auto It = I.Waiters_.begin(); It != I.Waiters_.end();) {
     if (Now < It->GiveUpAt_) {
       ++It;
--- /dev/null
+++ b/packages/intake/tests/unit-intake.cpp
@@ -0,0 +1,194 @@
+/// What callers are told, and when.
+#include "intake/intake.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::intake;
+using ledger::AppendReply;
+using ledger::StoreStatus;
+
+namespace {
+
+/// Answers appends as a test tells it to.
+class FakeStore : public ledger::Store {
+public:
+  void append(ledger::AppendCall Call,
+              ledger::Done<AppendReply> Done) override {
+    Appends_.push_back(std::move(Call));
+    Open_.push_back(std::move(Done));
+  }
+  void read(ledger::ReadCall, ledger::Done<ledger::ReadReply>) override {}
+  void newest(ledger::Partition, std::string,
+              ledger::Done<ledger::NewestReply>) override {}
+
+  void answer(StoreStatus Status) {
+    auto Done = std::move(Open_.front());
+    Open_.erase(Open_.begin());
+    Done({Status});
+  }
+
+  std::vector<ledger::AppendCall> Appends_;
+  std::vector<ledger::Done<AppendReply>> Open_;
+};
+
+struct Fixture {
+  FakeStore Store_;
+  Intake Intake_;
+  workflow::Queue Queue_;
+  std::uint32_t Partition_ = 0;
+  TimePoint Now_{std::chrono::seconds(50)};
+  std::vector<Answer> Answers_;
+
+  Fixture() {
+    Queue_.Name_ = "q";
+    Queue_.Service_ = "s";
+    Partition_ = partitionOf("s");
+    Intake_.Store_ = &Store_;
+    Intake_.Clock_ = [this] { return Now_; };
+    read();
+  }
+
+  /// The copy becomes current.
+  void read(const std::vector<ledger::KeyedRecord> &Records = {}) {
+    PartitionCopy &Copy = Intake_.Partitions_[Partition_];
+    for (const ledger::KeyedRecord &R : Records)
+      ledger::apply(Copy.Replica_, R);
+    Now_ += Milliseconds(2);
+    Copy.Tail_.Reachable_ = true;
+    Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
+    onProgress(Intake_, Partition_, Now_);
+  }
+
+  Times times() const { return {Now_, 0, Milliseconds(3'000)}; }
+  Reply reply() {
+    return [this](const Answer &A) { Answers_.push_back(A); };
+  }
+  static workflow::WorkflowSpec spec() {
+    workflow::WorkflowSpec S;
+    S.Steps_.resize(1);
+    return S;
+  }
+  void submit() {
+    intake::submit(Intake_, Queue_, "j1", spec(), times(), reply());
+  }
+  ledger::KeyedRecord record() const {
+    ledger::AcceptedJob J{Queue_, 0, spec()};
+    return ledger::makeJob("j1", J);
+  }
+};
+
+} // namespace
+
+Test(intake, a_job_is_accepted_once_it_is_stored) {
+  Fixture F;
+  F.submit();
+  cr_assert(F.Answers_.empty());
+  F.Store_.answer(StoreStatus::Done);
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
+}
+
+Test(intake, a_known_job_is_not_stored_again) {
+  Fixture F;
+  F.read({F.record()});
+  F.submit();
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
+  cr_assert(F.Store_.Appends_.empty());
+}
+
+Test(intake, a_refused_append_is_a_rejection_that_did_not_run) {
+  Fixture F;
+  F.submit();
+  F.Store_.answer(StoreStatus::NotDone);
+  const Error &E = F.Answers_.at(0).Error_;
+  cr_assert(errorRow(E.Kind_).Run_ == RunState::NotRun);
+}
+
+Test(intake, an_append_without_an_answer_is_sent_again) {
+  Fixture F;
+  F.submit();
+  F.Store_.answer(StoreStatus::Unknown);
+  cr_assert(F.Answers_.empty());
+  F.read();
+  cr_assert_eq(F.Store_.Appends_.size(), 2u);
+  F.Store_.answer(StoreStatus::Done);
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
+}
+
+Test(intake, what_may_be_stored_is_never_said_not_to_run) {
+  Fixture F;
+  F.submit();
+  F.Store_.answer(StoreStatus::Unknown);
+  F.read();
+  F.Store_.answer(StoreStatus::NotDone);
+  cr_assert(F.Answers_.empty());
+  F.Now_ += Milliseconds(3'000);
+  tick(F.Intake_, F.Now_);
+  cr_assert(errorRow(F.Answers_.at(0).Error_.Kind_).Run_ == RunState::Unknown);
+}
+
+Test(intake, the_copy_may_answer_before_the_store) {
+  Fixture F;
+  F.submit();
+  F.read({F.record()});
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
+  F.Store_.answer(StoreStatus::Unknown);
+  cr_assert_eq(F.Answers_.size(), 1u);
+}
+
+Test(intake, jobs_are_rejected_at_once_while_the_store_fails) {
+  Fixture F;
+  F.submit();
+  F.Store_.answer(StoreStatus::NotDone);
+  F.Now_ += Milliseconds(2'500);
+  F.submit();
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  cr_assert_eq(F.Answers_.size(), 2u);
+  cr_assert_gt(F.Answers_[1].RetryAfter_.count(),
+               F.Answers_[0].RetryAfter_.count());
+  F.read();
+  F.submit();
+  cr_assert_eq(F.Store_.Appends_.size(), 2u);
+}
+
+Test(intake, an_unknown_job_is_gone_only_for_a_copy_newer_than_the_question) {
+  Fixture F;
+  askState(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  cr_assert(F.Answers_.empty());
+  F.read();
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Unknown);
+}
+
+Test(intake, a_question_is_answered_when_the_job_arrives) {
+  Fixture F;
+  askState(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  F.read({F.record()});
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::State);
+}
+
+Test(intake, a_question_without_a_current_copy_is_not_answered_with_gone) {
+  Fixture F;
+  askState(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  F.Now_ += Milliseconds(3'000);
+  tick(F.Intake_, F.Now_);
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Rejected);
+}
+
+Test(intake, a_cancellation_is_stored_once) {
+  Fixture F;
+  F.read({F.record()});
+  intake::cancel(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  F.Store_.answer(StoreStatus::Done);
+  F.read({ledger::makeCancel("j1")});
+  intake::cancel(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  cr_assert_eq(F.Answers_.size(), 2u);
+}
+
+Test(intake, pending_counts_jobs_of_the_queue) {
+  Fixture F;
+  cr_assert_eq(pending(F.Intake_, F.Queue_), 0u);
+  F.read({F.record()});
+  cr_assert_eq(pending(F.Intake_, F.Queue_), 1u);
+}
--- /dev/null
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -0,0 +1,87 @@
+/// Folding of the job records.
+#include "ledger/ledger.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::ledger;
+using workflow::JobState;
+
+namespace {
+
+KeyedRecord jobRecord(const char *Payload, Offset At) {
+  AcceptedJob J;
+  J.Queue_.Name_ = "q";
+  J.Spec_.Payload_ = Payload;
+  J.Spec_.Steps_.resize(1);
+  KeyedRecord R = makeJob("j1", J);
+  R.Offset_ = At;
+  return R;
+}
+
+KeyedRecord progressRecord(JobState State, Offset At) {
+  workflow::Progress P;
+  P.State_ = int(State);
+  KeyedRecord R = makeProgress("j1", P);
+  R.Offset_ = At;
+  return R;
+}
+
+} // namespace
+
+Test(replica, the_first_record_of_an_id_is_the_job) {
+  Replica Copy;
+  cr_assert(apply(Copy, jobRecord("first", 0)).Kind_ == Change::Kind::Accepted);
+  cr_assert(apply(Copy, jobRecord("second", 1)).Kind_ == Change::Kind::None);
+  cr_assert_eq(Copy.Jobs_.at("j1").Accepted_.Spec_.Payload_, "first");
+}
+
+Test(replica, an_older_progress_does_not_replace_a_newer_one) {
+  Replica Copy;
+  apply(Copy, jobRecord("x", 0));
+  apply(Copy, progressRecord(JobState::Completed, 9));
+  apply(Copy, progressRecord(JobState::Running, 5));
+  cr_assert(shownState(Copy.Jobs_.at("j1")) == JobState::Completed);
+}
+
+Test(replica, records_may_come_before_their_job) {
+  // The newest records are read in the order of their keys.
+  Replica Copy;
+  apply(Copy, makeCancel("j1"));
+  cr_assert(Copy.Jobs_.empty());
+  apply(Copy, jobRecord("x", 3));
+  cr_assert(shownState(Copy.Jobs_.at("j1")) == JobState::Cancelled);
+}
+
+Test(replica, a_job_that_completed_first_stays_completed) {
+  Replica Copy;
+  apply(Copy, jobRecord("x", 0));
+  apply(Copy, progressRecord(JobState::Completed, 1));
+  apply(Copy, makeCancel("j1"));
+  cr_assert(shownState(Copy.Jobs_.at("j1")) == JobState::Completed);
+}
+
+Test(replica, only_jobs_without_a_start_are_pending) {
+  Replica Copy;
+  apply(Copy, jobRecord("x", 0));
+  cr_assert_eq(pendingJobs(Copy, "q"), 1u);
+  cr_assert_eq(pendingJobs(Copy, "other"), 0u);
+  apply(Copy, progressRecord(JobState::Running, 1));
+  cr_assert_eq(pendingJobs(Copy, "q"), 0u);
+}
+
+Test(replica, records_that_cannot_be_read_are_counted) {
+  Replica Copy;
+  apply(Copy, {"jx", "no msgpack", 0});
+  apply(Copy, {"?", "x", 1});
+  cr_assert_eq(Copy.Unreadable_, 2u);
+  cr_assert(Copy.Jobs_.empty());
+}
+
+Test(replica, a_removed_job_is_unknown) {
+  Replica Copy;
+  apply(Copy, jobRecord("x", 0));
+  for (const KeyedRecord &R : makeRemoval("j1"))
+    apply(Copy, R);
+  cr_assert(Copy.Jobs_.empty());
+}
--- /dev/null
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -0,0 +1,73 @@
+/// Following a partition.
+#include "ledger/ledger.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::ledger;
+
+namespace {
+
+constexpr TimePoint T0{std::chrono::seconds(10)};
+
+NewestReply page(Offset End, bool More) {
+  NewestReply R;
+  R.Status_ = StoreStatus::Done;
+  R.Records_ = {{"k", "v", 1}};
+  R.More_ = More;
+  R.End_ = End;
+  return R;
+}
+
+ReadReply upTo(Offset Next, Offset End) {
+  ReadReply R;
+  R.Status_ = StoreStatus::Done;
+  R.Next_ = Next;
+  R.End_ = End;
+  return R;
+}
+
+} // namespace
+
+Test(tail, reading_goes_on_from_the_end_as_of_the_first_page) {
+  Tail T;
+  cr_assert(nextStep(T, T0) == TailStep::Newest);
+  onSent(T, T0);
+  cr_assert(nextStep(T, T0) == TailStep::Idle);
+  cr_assert_not(onNewest(T, page(7, true), T0));
+  cr_assert_eq(T.PageAfter_, "k");
+  cr_assert(onNewest(T, page(12, false), T0));
+  cr_assert_eq(T.Next_, 7u);
+  cr_assert(nextStep(T, T0) == TailStep::Read);
+}
+
+Test(tail, it_is_current_as_of_the_sending_of_a_complete_read) {
+  Tail T;
+  onNewest(T, page(7, false), T0);
+  onSent(T, T0 + Milliseconds(5));
+  onRead(T, upTo(8, 9), T0 + Milliseconds(9));
+  cr_assert(T.CurrentAt_ == TimePoint{});
+  onSent(T, T0 + Milliseconds(10));
+  onRead(T, upTo(9, 9), T0 + Milliseconds(30));
+  cr_assert(T.CurrentAt_ == T0 + Milliseconds(10));
+}
+
+Test(tail, forgotten_records_start_it_over) {
+  Tail T;
+  onNewest(T, page(7, false), T0);
+  ReadReply Gone;
+  Gone.Status_ = StoreStatus::Forgotten;
+  onRead(T, Gone, T0);
+  cr_assert(nextStep(T, T0) == TailStep::Newest);
+  cr_assert(T.Loaded_, "what it knows stays in use");
+}
+
+Test(tail, a_failed_read_is_tried_again_after_a_pause) {
+  Tail T;
+  onNewest(T, page(7, false), T0);
+  onSent(T, T0);
+  onRead(T, {}, T0);
+  cr_assert_not(T.Reachable_);
+  cr_assert(nextStep(T, T0) == TailStep::Idle);
+  cr_assert(nextStep(T, T0 + Milliseconds(300)) == TailStep::Read);
+}
--- /dev/null
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -0,0 +1,166 @@
+/// When a slice is claimed, kept and lost.
+#include "ownership/ownership.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::ownership;
+using ledger::AppendReply;
+using ledger::StoreStatus;
+
+namespace {
+
+/// The claims topic and entries that read it at once.
+struct Cell {
+  std::vector<ledger::KeyedRecord> Log_;
+  std::vector<State> Entries_;
+  TimePoint Now_{std::chrono::seconds(100)};
+  bool StoreDown_ = false;
+  std::set<std::size_t> Silent_; ///< Entries that do nothing.
+
+  explicit Cell(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      State S;
+      S.Options_.Self_ = "n" + std::to_string(I) + ".1";
+      S.Options_.Address_ = "n" + std::to_string(I) + ":1";
+      Entries_.push_back(std::move(S));
+    }
+  }
+
+  void deliver(const ledger::KeyedRecord &R) {
+    for (std::size_t I = 0; I < Entries_.size(); ++I)
+      if (!Silent_.count(I))
+        onRecord(Entries_[I], R, Now_);
+  }
+
+  AppendReply append(const Write &W) {
+    if (StoreDown_)
+      return {};
+    if (W.ExpectedEnd_ && *W.ExpectedEnd_ != Log_.size())
+      return {StoreStatus::Moved, 0, Log_.size()};
+    ledger::KeyedRecord R = W.Record_;
+    R.Offset_ = Log_.size();
+    Log_.push_back(R);
+    deliver(R);
+    return {StoreStatus::Done, R.Offset_, Log_.size()};
+  }
+
+  void step(Milliseconds Time = Milliseconds(25)) {
+    Now_ += Time;
+    for (std::size_t I = 0; I < Entries_.size(); ++I) {
+      if (Silent_.count(I))
+        continue;
+      if (!StoreDown_)
+        onContact(Entries_[I], Now_);
+      for (const Write &W : tick(Entries_[I], {"s"}, Log_.size(), Now_))
+        onWritten(Entries_[I], W, append(W), Now_, Now_);
+    }
+  }
+
+  void run(Milliseconds Time) {
+    for (TimePoint End = Now_ + Time; Now_ < End;)
+      step();
+  }
+
+  std::vector<std::size_t> owners() const {
+    std::vector<std::size_t> Out;
+    for (std::size_t I = 0; I < Entries_.size(); ++I)
+      if (!Silent_.count(I) && Entries_[I].Owned_.count("s"))
+        Out.push_back(I);
+    return Out;
+  }
+};
+
+} // namespace
+
+Test(claims, one_entry_owns_the_slice_and_keeps_it) {
+  Cell C(4);
+  C.run(Milliseconds(1'000));
+  cr_assert_eq(C.owners().size(), 1u);
+  std::size_t First = C.owners()[0];
+  const Owned &Own = C.Entries_[First].Owned_.at("s");
+  cr_assert(Own.Clean_);
+  cr_assert_eq(Own.Generation_, 1u);
+  C.run(Milliseconds(20'000));
+  cr_assert_eq(C.owners().at(0), First);
+}
+
+Test(claims, a_silent_owner_is_taken_over_with_a_higher_number) {
+  Cell C(4);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  ClaimNumber Number = C.Entries_[First].Owned_.at("s").Number_;
+  C.Silent_.insert(First);
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.owners().size(), 1u);
+  const Owned &Own = C.Entries_[C.owners()[0]].Owned_.at("s");
+  cr_assert_gt(Own.Number_, Number);
+  cr_assert_eq(Own.Generation_, 2u);
+  cr_assert_not(Own.Clean_);
+}
+
+Test(claims, silence_does_not_count_while_the_store_is_down) {
+  Cell C(4);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  C.StoreDown_ = true;
+  C.run(Milliseconds(8'000));
+  C.StoreDown_ = false;
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.owners().at(0), First);
+}
+
+Test(claims, an_owner_without_the_store_stops_its_orders_in_time) {
+  Cell C(2);
+  C.run(Milliseconds(1'000));
+  State &S = C.Entries_[C.owners()[0]];
+  cr_assert(mayOrder(S, C.Now_));
+  C.StoreDown_ = true;
+  C.run(S.Options_.SelfFence_ + Milliseconds(1'000));
+  cr_assert_not(mayOrder(S, C.Now_));
+}
+
+Test(claims, a_given_up_slice_is_taken_at_once_and_clean) {
+  Cell C(3);
+  C.run(Milliseconds(1'000));
+  State &S = C.Entries_[C.owners()[0]];
+  S.Stopping_ = true;
+  C.run(Milliseconds(600));
+  cr_assert_eq(C.owners().size(), 1u);
+  const Owned &Own = C.Entries_[C.owners()[0]].Owned_.at("s");
+  cr_assert(Own.Clean_);
+  cr_assert(S.Owned_.empty());
+}
+
+Test(claims, a_restarted_entry_does_not_wait_for_its_own_silence) {
+  Cell C(1);
+  C.run(Milliseconds(1'000));
+  State Reborn;
+  Reborn.Options_.Self_ = "n0.2";
+  for (const ledger::KeyedRecord &R : C.Log_)
+    onRecord(Reborn, R, C.Now_);
+  C.Entries_[0] = Reborn;
+  C.run(Milliseconds(700));
+  cr_assert_eq(C.owners().size(), 1u);
+}
+
+Test(claims, a_claim_without_an_answer_is_not_used) {
+  Cell C(1);
+  State &S = C.Entries_[0];
+  onContact(S, C.Now_);
+  std::vector<Write> Writes;
+  for (int I = 0; I < 100 && Writes.size() < 2; ++I) {
+    C.Now_ += Milliseconds(25);
+    onContact(S, C.Now_);
+    for (Write &W : tick(S, {"s"}, 0, C.Now_))
+      Writes.push_back(std::move(W));
+  }
+  const Write &Claim = Writes.back();
+  cr_assert(Claim.Kind_ == Write::Kind::Claim);
+  C.append(Claim);
+  onWritten(S, Claim, {}, C.Now_, C.Now_);
+  cr_assert(S.Owned_.empty());
+  C.run(Milliseconds(1'000));
+  cr_assert_eq(S.Owned_.size(), 1u);
+  cr_assert_not(S.Owned_.at("s").Clean_);
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -103,7 +103,7 @@
   TimePoint LeaseEndsAt_{};
   std::uint64_t SeenEnd_ = 0;
   std::uint64_t StoredEnd_ = 0; ///< Ends up to here are stored.
-  unsigned FailuresInRow_ = 0;
+  std::set<JobId> FailedJobs_;  ///< Jobs that failed there since a success.
   TimePoint AvoidUntil_{};
   unsigned Pace_ = 100; ///< Share that fillers there may work at.
 };
@@ -153,7 +153,8 @@
   bool AcksDirty_ = false;
   bool PlaceWanted_ = false; ///< Something changed since the last placement.
   TimePoint PlaceNotBefore_{};
-  bool Fenced_ = false; ///< A worker has seen a higher token.
+  TimePoint LossyUntil_{}; ///< Workers' answers got lost a moment ago.
+  bool Fenced_ = false;    ///< A worker has seen a higher token.
   TimePoint LastTick_{};
   Counters Counters_;
 };
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -49,6 +49,8 @@
 /// Whether new tasks may start there.
 bool takesTasks(const Worker &W, TimePoint Now);
 
+/// An answer of a worker got lost.
+void noteLoss(State &S, TimePoint Now);
 /// Accounts for a lease of \p Length that is given now.
 void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now);
 /// Gives up what ran on workers whose leases have lapsed unheard.
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -45,6 +45,7 @@
 
 void startUnanswered(State &S, const StartCall &Call, Run &R, TimePoint Now) {
   S.Unsettled_.insert(Call.Task_);
+  detail::noteLoss(S, Now);
   if (R.Sends_ < MaxStartSends && !R.StopWanted_) {
     R.RetryAt_ = Now;
     return;
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -128,24 +128,35 @@
     closeJob(S, J, workflow::JobState::Failed, Now);
 }
 
-/// A worker that fails several tasks in a row is left alone for a while.
-constexpr unsigned FailuresBeforeAvoiding = 3;
+/// A worker on which tasks of so many jobs in a row fail is left alone for a
+/// while. Tasks of one job may all fail by the job's own fault.
+constexpr std::size_t JobsBeforeAvoiding = 3;
 constexpr Milliseconds AvoidTime{4'000};
 
+/// No more than half of the workers are set aside at a time.
+bool maySetAside(const State &S, TimePoint Now) {
+  auto Aside =
+      std::count_if(S.Workers_.begin(), S.Workers_.end(),
+                    [&](const auto &W) { return Now < W.second.AvoidUntil_; });
+  return std::size_t(Aside) * 2 < S.Workers_.size();
+}
+
 void noteEvidence(State &S, Worker &W, const EndedTask &End, TimePoint Now,
                   Outbox &Out) {
   if (End.Kind_ == EndKind::Done) {
-    W.FailuresInRow_ = 0;
+    W.FailedJobs_.clear();
     return;
   }
-  if (End.Kind_ != EndKind::Failed ||
-      ++W.FailuresInRow_ < FailuresBeforeAvoiding)
+  if (End.Kind_ != EndKind::Failed)
+    return;
+  W.FailedJobs_.insert(End.Task_.Step_.Job_);
+  if (W.FailedJobs_.size() < JobsBeforeAvoiding || !maySetAside(S, Now))
     return;
   count(S.Counters_, "worker-set-aside");
   W.AvoidUntil_ = Now + AvoidTime;
   Out.Notes_.push_back(
       {"worker-set-aside",
-       {{"worker", W.Info_.Id_}, {"failures_in_row", W.FailuresInRow_}}});
+       {{"worker", W.Info_.Id_}, {"failed_jobs", W.FailedJobs_.size()}}});
 }
 
 } // namespace
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds IdleHoldInterval{1'500};
 /// How long a worker with tasks may keep a hold waiting for an end.
 constexpr Milliseconds BusyHoldWait{1'000};
+/// The same while answers get lost: each lost one hides ends for that long.
+constexpr Milliseconds LossyHoldWait{200};
+constexpr Milliseconds LossyTime{4'000};
 constexpr Milliseconds HoldSpacing{10};
 constexpr Milliseconds HoldRetryInterval{200};
 /// Limit for storing ends before the worker is asked again.
@@ -44,6 +47,8 @@
          W.Misses_ < MissesBeforeAvoiding && Now >= W.AvoidUntil_;
 }
 
+void noteLoss(State &S, TimePoint Now) { S.LossyUntil_ = Now + LossyTime; }
+
 void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now) {
   Length = std::min(Length, S.Options_.MaxLease_);
   auto Longest =
@@ -62,7 +67,7 @@
       Call.LeaseUntil_ = clockOf(W, Now) + S.Options_.Lease_;
       extendLease(S, W, S.Options_.Lease_, Now);
       if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
-        Call.Wait_ = BusyHoldWait;
+        Call.Wait_ = Now < S.LossyUntil_ ? LossyHoldWait : BusyHoldWait;
     }
     W.HoldInFlight_ = true;
     Out.Holds_.push_back(std::move(Call));
@@ -188,6 +193,7 @@
 void onMiss(State &S, Worker &W, TimePoint Now) {
   ++W.Misses_;
   count(S.Counters_, "hold-no-answer");
+  noteLoss(S, Now);
   W.HoldDueAt_ = Now + HoldRetryInterval;
 }
 
@@ -198,7 +204,7 @@
     count(S.Counters_, "worker-reborn");
   W.Life_ = Reply.BornUnixMs_;
   W.SeenEnd_ = W.StoredEnd_ = 0;
-  W.FailuresInRow_ = 0;
+  W.FailedJobs_.clear();
 }
 
 void planNextHold(State &S, Worker &W, TimePoint Now) {
--- /dev/null
+++ b/packages/scheduler/tests/unit-attempts.cpp
@@ -0,0 +1,94 @@
+/// Failed runs, the limit of attempts, and what a new owner knows of them.
+#include "fleet/fleet_cell.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using workflow::JobState;
+
+namespace {
+
+FleetCell makeCell() {
+  FleetCell C;
+  C.addPlainQueue();
+  for (const char *Id : {"a", "b", "c"})
+    C.addWorker(Id);
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(150), EndKind::Failed};
+  };
+  return C;
+}
+
+} // namespace
+
+Test(attempts, a_task_that_fails_too_often_fails_its_job) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Failed; }));
+  cr_assert_eq(C.Starts_.size(), 3u);
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(C.Starts_.size(), 3u);
+}
+
+Test(attempts, a_failed_task_tries_another_worker) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 2; }));
+  cr_assert_neq(C.Starts_[0].back(), C.Starts_[1].back());
+}
+
+Test(attempts, a_new_owner_counts_ends_in_any_order) {
+  // The former owner could not store its last ends: the new one reads the ends
+  // of two runs from two workers, the later run first.
+  FleetCell C = makeCell();
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 1; }));
+  C.owner().CutFromStore_ = true;
+  C.run(Milliseconds(1'500));
+  std::size_t Before = C.Starts_.size();
+  cr_assert_eq(Before, 3u);
+  C.takeOver();
+  C.run(Milliseconds(4'000));
+  cr_assert_eq(C.Starts_.size(), Before);
+  cr_assert_eq(C.state("j1"), JobState::Failed);
+  cr_assert(C.Broken_.empty());
+}
+
+Test(attempts, an_end_that_is_listed_twice_counts_once) {
+  FleetCell C = makeCell();
+  C.FateOf_ = [](const TaskId &, std::uint32_t Run) {
+    return Fate{Milliseconds(150), Run == 1 ? EndKind::Failed : EndKind::Done};
+  };
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 2; }));
+  C.killOwner();
+  C.takeOver();
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+}
+
+Test(attempts, a_worker_that_fails_everything_is_set_aside) {
+  FleetCell C = makeCell();
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(50)};
+  };
+  C.takeOver();
+  C.run(Milliseconds(200));
+  scheduler::Outbox Out;
+  scheduler::HoldCall Call{{"a", "a:1", C.owner().Token_}};
+  scheduler::HoldReply Reply;
+  Reply.Status_ = scheduler::CallStatus::Done;
+  Reply.BornUnixMs_ = C.worker("a").Info_.BornUnixMs_;
+  for (std::uint32_t I = 0; I < 3; ++I)
+    Reply.Ended_.push_back(
+        {I + 1, {{"o" + std::to_string(I), 0, 0}, 0}, 1, EndKind::Failed, ""});
+  scheduler::onHold(C.owner().State_, Call, Reply, C.Now_, C.Now_, Out);
+  C.submit("j1", plainJob({plainStep(6)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  for (const std::string &Start : C.Starts_)
+    cr_assert(!Start.ends_with("@a"));
+}
--- /dev/null
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -0,0 +1,62 @@
+/// Queues whose placement policy must be asked.
+#include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/placing.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using workflow::JobState;
+
+namespace {
+
+FleetCell makeCell() {
+  FleetCell C;
+  C.addPlainQueue();
+  C.Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{20, 1, 2'000};
+  for (const char *Id : {"a", "b", "c", "d"})
+    C.addWorker(Id);
+  C.takeOver();
+  return C;
+}
+
+} // namespace
+
+Test(permits, tasks_start_only_where_the_policy_allows) {
+  FleetCell C = makeCell();
+  C.Allows_ = [](const WorkerId &W) { return W == "b" || W == "d"; };
+  C.submit("j1", plainJob({plainStep(12)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  for (const std::string &Start : C.Starts_)
+    cr_assert(Start.ends_with("@b") || Start.ends_with("@d"));
+}
+
+Test(permits, one_call_serves_all_tasks_of_a_step) {
+  FleetCell C = makeCell();
+  C.submit("j1", plainJob({plainStep(8)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_eq(C.AdviceCalls_, 1u);
+}
+
+Test(permits, a_lapsed_permit_is_asked_for_again) {
+  FleetCell C = makeCell();
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(3'000)};
+  };
+  C.submit("j1", plainJob({plainStep(40)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_geq(C.AdviceCalls_, 2u);
+}
+
+Test(permits, a_full_fleet_is_not_asked_about) {
+  FleetCell C = makeCell();
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(20'000)};
+  };
+  C.submit("j1", plainJob({plainStep(32)}));
+  C.run(Milliseconds(1'000));
+  std::uint64_t Before = C.AdviceCalls_;
+  C.submit("j2", plainJob({plainStep(4)}));
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.AdviceCalls_, Before);
+}
--- /dev/null
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -0,0 +1,94 @@
+/// Steps and their order, schedules and cancellation.
+#include "fleet/fleet_cell.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using workflow::JobState;
+
+namespace {
+
+FleetCell makeCell() {
+  FleetCell C;
+  C.addPlainQueue();
+  for (const char *Id : {"a", "b", "c"})
+    C.addWorker(Id);
+  return C;
+}
+
+} // namespace
+
+Test(steps, all_tasks_run_and_the_job_completes) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(10)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), 10u);
+  cr_assert(C.Broken_.empty());
+}
+
+Test(steps, a_step_waits_for_all_tasks_of_the_steps_before_it) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  workflow::StepSpec Second = plainStep(2);
+  Second.After_ = {0};
+  C.FateOf_ = [](const TaskId &Id, std::uint32_t) {
+    return Fate{Milliseconds(Id.Index_ == 3 ? 2'000 : 100)};
+  };
+  C.submit("j1", plainJob({plainStep(4), Second}));
+  C.run(Milliseconds(1'500));
+  cr_assert_eq(C.Starts_.size(), 4u);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), 6u);
+}
+
+Test(steps, at_most_so_many_tasks_of_a_step_on_one_worker) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  workflow::StepSpec S = plainStep(6);
+  S.MaxPerWorker_ = 1;
+  C.submit("j1", plainJob({S}));
+  C.run(Milliseconds(150));
+  cr_assert_eq(C.Starts_.size(), 3u);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+}
+
+Test(steps, a_required_label_restricts_the_workers) {
+  FleetCell C = makeCell();
+  C.worker("b").Info_.Labels_ = {"special"};
+  C.takeOver();
+  workflow::StepSpec S = plainStep(3);
+  S.RequiredLabel_ = "special";
+  C.submit("j1", plainJob({S}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  for (const std::string &Start : C.Starts_)
+    cr_assert(Start.ends_with("@b"), "%s", Start.c_str());
+}
+
+Test(steps, a_cancelled_job_is_stopped_and_starts_nothing) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(20'000)};
+  };
+  C.submit("j1", plainJob({plainStep(30)}));
+  C.run(Milliseconds(500));
+  cr_assert_eq(C.Starts_.size(), 24u);
+  C.cancel("j1");
+  C.run(Milliseconds(1'000));
+  for (const auto &[Id, W] : C.Workers_)
+    cr_assert(W.Runs_.empty());
+  cr_assert_eq(C.Starts_.size(), 24u);
+  cr_assert_eq(C.state("j1"), JobState::Cancelled);
+}
+
+Test(steps, a_draining_worker_gets_no_task) {
+  FleetCell C = makeCell();
+  C.worker("a").Info_.Draining_ = true;
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(16)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  for (const std::string &Start : C.Starts_)
+    cr_assert(!Start.ends_with("@a"));
+}
--- /dev/null
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -0,0 +1,109 @@
+/// What a new owner adopts, and what it must wait for.
+#include "fleet/fleet_cell.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using workflow::JobState;
+
+namespace {
+
+FleetCell makeCell(Milliseconds Length) {
+  FleetCell C;
+  C.addPlainQueue();
+  for (const char *Id : {"a", "b", "c"})
+    C.addWorker(Id);
+  C.FateOf_ = [Length](const TaskId &, std::uint32_t) { return Fate{Length}; };
+  C.takeOver();
+  return C;
+}
+
+} // namespace
+
+Test(takeover, running_tasks_are_adopted) {
+  FleetCell C = makeCell(Milliseconds(4'000));
+  C.submit("j1", plainJob({plainStep(12)}));
+  C.run(Milliseconds(1'000));
+  C.killOwner();
+  C.run(Milliseconds(2'000));
+  C.takeOver();
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), 12u);
+}
+
+Test(takeover, the_former_owner_is_fenced) {
+  FleetCell C = makeCell(Milliseconds(4'000));
+  C.submit("j1", plainJob({plainStep(12)}));
+  C.run(Milliseconds(500));
+  Owner &Old = C.owner();
+  Old.CutFromStore_ = true;
+  C.takeOver();
+  C.run(Milliseconds(2'500));
+  cr_assert(Old.State_.Fenced_);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert(C.Broken_.empty());
+}
+
+Test(takeover, a_silent_worker_keeps_inherited_tasks_waiting) {
+  // Its tasks may run there, so none of them starts elsewhere before no lease
+  // of the former owner can last.
+  FleetCell C = makeCell(Milliseconds(60'000));
+  C.submit("j1", plainJob({plainStep(12)}));
+  C.run(Milliseconds(500));
+  C.killOwner();
+  C.worker("a").Cut_ = true;
+  C.takeOver();
+  C.run(Milliseconds(4'000));
+  cr_assert_eq(C.Starts_.size(), 12u);
+  C.submit("j2", plainJob({plainStep(2)}));
+  C.run(Milliseconds(500));
+  cr_assert_gt(C.Starts_.size(), 12u, "new jobs need not wait");
+  C.run(Milliseconds(20'000));
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+}
+
+Test(takeover, a_cut_off_owner_and_its_worker_stay_apart_from_the_new_one) {
+  // Only the former owner reaches the worker, and neither reaches the store.
+  FleetCell C = makeCell(Milliseconds(60'000));
+  C.submit("j1", plainJob({plainStep(12)}));
+  C.run(Milliseconds(500));
+  C.owner().CutFromStore_ = true;
+  C.takeOver();
+  C.run(Milliseconds(40'000));
+  cr_assert(C.Broken_.empty());
+}
+
+Test(takeover, a_freed_slice_is_taken_over_without_a_long_wait) {
+  FleetCell C = makeCell(Milliseconds(500));
+  C.submit("j1", plainJob({plainStep(30)}));
+  C.run(Milliseconds(300));
+  C.killOwner();
+  C.takeOver(true);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
+                       Milliseconds(4'000)));
+}
+
+Test(takeover, runs_of_two_owners_have_different_numbers) {
+  FleetCell C = makeCell(Milliseconds(60'000));
+  C.submit("j1", plainJob({plainStep(1)}));
+  C.run(Milliseconds(300));
+  C.killOwner();
+  for (auto &[Id, W] : C.Workers_)
+    restart(W, 500 + std::int64_t(Id[0]));
+  C.takeOver();
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(C.Starts_.size(), 2u);
+  cr_assert_neq(C.Starts_[0].substr(0, 12), C.Starts_[1].substr(0, 12));
+}
+
+Test(takeover, the_store_may_be_away_for_a_while) {
+  FleetCell C = makeCell(Milliseconds(300));
+  C.submit("j1", plainJob({plainStep(60)}));
+  C.run(Milliseconds(200));
+  C.StoreDown_ = true;
+  C.run(Milliseconds(6'000));
+  cr_assert_eq(C.Starts_.size(), 60u, "running goes on without the store");
+  C.StoreDown_ = false;
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+}
--- /dev/null
+++ b/packages/workflow/tests/unit-spec.cpp
@@ -0,0 +1,69 @@
+/// Checks of what callers hand in, and names of tasks.
+#include "workflow/workflow.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::workflow;
+
+Test(spec, a_step_may_only_wait_for_earlier_ones) {
+  WorkflowSpec S;
+  S.Steps_.resize(2);
+  S.Steps_[0].After_ = {1};
+  auto Result = check(S);
+  cr_assert_not(Result);
+  cr_assert_eq(Result.error().Message_,
+               "steps[0].after: 1 is not an earlier step");
+  S.Steps_[0].After_ = {};
+  S.Steps_[1].After_ = {0};
+  cr_assert(bool(check(S)));
+}
+
+Test(spec, absurd_counts_are_refused) {
+  WorkflowSpec S;
+  cr_assert_not(check(S));
+  S.Steps_.resize(1);
+  S.Steps_[0].Count_ = 0;
+  cr_assert_not(check(S));
+  S.Steps_[0].Count_ = MaxTasksPerStep + 1;
+  cr_assert_not(check(S));
+  S.Steps_[0].Count_ = MaxTasksPerStep;
+  cr_assert(bool(check(S)));
+  S.Payload_.assign(MaxPayloadBytes + 1, 'x');
+  cr_assert_not(check(S));
+}
+
+Test(spec, the_longest_chain_follows_the_dependencies) {
+  WorkflowSpec S;
+  S.Steps_.resize(3);
+  S.Steps_[0].EstimateMs_ = 100;
+  S.Steps_[1].EstimateMs_ = 700;
+  S.Steps_[2].EstimateMs_ = 200;
+  S.Steps_[2].After_ = {0};
+  cr_assert_eq(longestChain(S).count(), 700);
+  S.Steps_[2].After_ = {0, 1};
+  cr_assert_eq(longestChain(S).count(), 900);
+}
+
+Test(spec, task_names_are_read_back) {
+  TaskId Id{{"5c0e7a21d94b36f8", 3, 1}, 17};
+  cr_assert_eq(toString(Id), "5c0e7a21d94b36f8.3.1.17");
+  cr_assert(parseTaskId(toString(Id)) == Id);
+  for (const char *Bad : {"", "a", "a.1.2", "a.1.2.x", ".1.2.3", "a.1.2.-3"})
+    cr_assert_not(parseTaskId(Bad), "%s", Bad);
+}
+
+Test(spec, the_longest_prefix_selects_the_queue) {
+  Catalog C;
+  for (const char *Prefix : {"/a/", "/a/b/"}) {
+    Queue Q;
+    Q.Name_ = Prefix;
+    Q.Host_ = "h";
+    Q.PathPrefix_ = Prefix;
+    C.Queues_.push_back(Q);
+  }
+  cr_assert_eq(findQueue(C, "h", "/a/b/1")->Name_, "/a/b/");
+  cr_assert_eq(findQueue(C, "h", "/a/1")->Name_, "/a/");
+  cr_assert_null(findQueue(C, "other", "/a/1"));
+  cr_assert_null(findQueue(C, "h", "/c"));
+}
--- /dev/null
+++ b/tests/fleet/fake_worker.cpp
@@ -0,0 +1,116 @@
+#include "fleet/fake_worker.hpp"
+
+namespace pollenvale::fleettest {
+
+using scheduler::CallStatus;
+
+namespace {
+
+constexpr Milliseconds StopTime{100};
+
+void end(FakeWorker &W, const TaskId &Id, EndKind Kind) {
+  std::uint32_t Run = W.Runs_.at(Id).Number_;
+  W.Runs_.erase(Id);
+  W.Past_[Id] = std::max(W.Past_[Id], Run);
+  std::string Checkpoint = Kind == EndKind::Stopped ? "saved" : "";
+  W.Ends_.push_back({++W.LastEnd_, Id, Run, Kind, Checkpoint});
+}
+
+CallStatus checkToken(FakeWorker &W, Token T) {
+  if (T < W.Token_)
+    return CallStatus::Fenced;
+  W.Token_ = T;
+  return CallStatus::Done;
+}
+
+void extend(FakeWorker &W, Milliseconds Until, TimePoint Now) {
+  TimePoint End = Now + (Until - clockOf(W, Now));
+  W.LeaseEndsAt_ = std::max(W.LeaseEndsAt_, End);
+}
+
+} // namespace
+
+Milliseconds clockOf(const FakeWorker &W, TimePoint Now) {
+  return elapsed(TimePoint{}, Now) + W.ClockShift_;
+}
+
+void advance(FakeWorker &W, TimePoint Now) {
+  auto Runs = W.Runs_;
+  for (const auto &[Id, R] : Runs) {
+    TimePoint DoneAt = R.StartedAt_ + R.Fate_.Length_;
+    if (DoneAt <= Now && DoneAt <= W.LeaseEndsAt_)
+      end(W, Id, R.Fate_.Kind_);
+    else if (W.LeaseEndsAt_ <= Now)
+      end(W, Id, EndKind::Lapsed);
+    else if (R.StopsAt_ && *R.StopsAt_ <= Now)
+      end(W, Id, EndKind::Stopped);
+  }
+}
+
+void restart(FakeWorker &W, std::int64_t BornUnixMs) {
+  W.Runs_.clear();
+  W.Past_.clear();
+  W.Ends_.clear();
+  W.LastEnd_ = 0;
+  W.Token_ = 0;
+  W.LeaseEndsAt_ = {};
+  W.Info_.BornUnixMs_ = BornUnixMs;
+}
+
+scheduler::OrderReply start(FakeWorker &W, const scheduler::StartCall &C,
+                            const Nature &N, TimePoint Now) {
+  advance(W, Now);
+  if (CallStatus S = checkToken(W, C.To_.Token_); S != CallStatus::Done)
+    return {S, clockOf(W, Now)};
+  auto It = W.Runs_.find(C.Task_);
+  if (It != W.Runs_.end() && It->second.Number_ == C.Run_)
+    return {CallStatus::Done, clockOf(W, Now)};
+  auto Past = W.Past_.find(C.Task_);
+  if (It != W.Runs_.end() ||
+      (Past != W.Past_.end() && C.Run_ <= Past->second)) {
+    extend(W, C.Deadline_, Now);
+    return {CallStatus::Superseded, clockOf(W, Now)};
+  }
+  if (C.Deadline_ < clockOf(W, Now))
+    return {CallStatus::Late, clockOf(W, Now)};
+  extend(W, C.Deadline_, Now);
+  W.Runs_[C.Task_] = {C.Run_, Now, N.Fate_(C.Task_, C.Run_), N.Size_(C.Task_),
+                      std::nullopt};
+  return {CallStatus::Done, clockOf(W, Now)};
+}
+
+scheduler::OrderReply stop(FakeWorker &W, const scheduler::StopCall &C,
+                           TimePoint Now) {
+  advance(W, Now);
+  if (CallStatus S = checkToken(W, C.To_.Token_); S != CallStatus::Done)
+    return {S, clockOf(W, Now)};
+  auto It = W.Runs_.find(C.Task_);
+  if (It != W.Runs_.end() && It->second.Number_ <= C.Run_) {
+    if (!It->second.StopsAt_)
+      It->second.StopsAt_ = Now + StopTime;
+  } else {
+    W.Past_[C.Task_] = std::max(W.Past_[C.Task_], C.Run_);
+  }
+  return {CallStatus::Done, clockOf(W, Now)};
+}
+
+scheduler::HoldReply hold(FakeWorker &W, const scheduler::HoldCall &C,
+                          TimePoint Now) {
+  advance(W, Now);
+  scheduler::HoldReply Out;
+  Out.Status_ = checkToken(W, C.To_.Token_);
+  Out.Clock_ = clockOf(W, Now);
+  Out.BornUnixMs_ = W.Info_.BornUnixMs_;
+  if (Out.Status_ != CallStatus::Done)
+    return Out;
+  if (C.LeaseUntil_)
+    extend(W, *C.LeaseUntil_, Now);
+  std::erase_if(W.Ends_,
+                [&](const EndedTask &E) { return E.Number_ <= C.AckedEnd_; });
+  Out.Ended_ = W.Ends_;
+  for (const auto &[Id, R] : W.Runs_)
+    Out.Running_.push_back({Id, R.Number_, "", 0, double(W.Gauge_)});
+  return Out;
+}
+
+} // namespace pollenvale::fleettest
--- /dev/null
+++ b/tests/fleet/fleet_cell.cpp
@@ -0,0 +1,401 @@
+#include "fleet/fleet_cell.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::fleettest {
+
+using scheduler::CallStatus;
+using scheduler::OrderReply;
+
+namespace {
+
+constexpr Milliseconds TickInterval{20};
+constexpr Milliseconds OrderTimeout{350};
+constexpr Milliseconds HoldMargin{350};
+constexpr Milliseconds AppendTime{6};
+/// An owner without the store stops its orders after this time.
+constexpr Milliseconds SelfFence{10'000};
+constexpr Milliseconds Lease{5'000};
+/// A cancelled job starts nothing later than this.
+constexpr Milliseconds CancelBound{3'000};
+
+} // namespace
+
+workflow::StepSpec plainStep(std::uint32_t Count) {
+  workflow::StepSpec S;
+  S.Count_ = Count;
+  S.Size_ = {1'000, 100, 0};
+  S.EstimateMs_ = 200;
+  return S;
+}
+
+workflow::WorkflowSpec plainJob(std::vector<workflow::StepSpec> Steps) {
+  workflow::WorkflowSpec Spec;
+  Spec.Payload_ = "work";
+  Spec.Steps_ = std::move(Steps);
+  return Spec;
+}
+
+FakeWorker &FleetCell::addWorker(const WorkerId &Id, Resources Capacity) {
+  FakeWorker &W = Workers_[Id];
+  W.Info_.Id_ = Id;
+  W.Info_.Address_ = Id + ":1";
+  W.Info_.Service_ = "s";
+  W.Info_.Capacity_ = Capacity;
+  W.Info_.BornUnixMs_ = std::int64_t(Born_++);
+  W.ClockShift_ = Milliseconds(std::int64_t(Random_.below(100'000)));
+  for (auto &O : Owners_)
+    scheduler::onWorker(O->State_, W.Info_, Now_);
+  return W;
+}
+
+void FleetCell::addPlainQueue() {
+  workflow::Queue Q;
+  Q.Name_ = "q";
+  Q.Service_ = "s";
+  Q.MaxAttempts_ = 3;
+  Q.Stretch_ = 2;
+  Q.SlackMs_ = 500;
+  addQueue(Q);
+}
+
+void FleetCell::submit(const JobId &Job, workflow::WorkflowSpec Spec) {
+  Specs_.emplace(Job, Spec);
+  ledger::AcceptedJob Record{Catalog_.Queues_.front(), 0, std::move(Spec)};
+  auto R = ledger::makeJob(Job, Record);
+  R.Offset_ = Store_.size();
+  Store_.push_back(std::move(R));
+}
+
+void FleetCell::cancel(const JobId &Job) {
+  auto R = ledger::makeCancel(Job);
+  R.Offset_ = Store_.size();
+  Store_.push_back(std::move(R));
+  CancelledAt_.emplace(Job, Now_);
+}
+
+void FleetCell::killOwner() { owner().Alive_ = false; }
+
+Owner &FleetCell::takeOver(bool Clean) {
+  auto O = std::make_unique<Owner>();
+  O->Token_ = Epoch_ = Store_.size() + 1 + Epoch_;
+  O->StoreContactAt_ = Now_;
+  for (; O->Read_ < Store_.size(); ++O->Read_)
+    ledger::apply(O->Copy_, Store_[O->Read_]);
+  scheduler::Options Opt;
+  Opt.Slice_ = "s";
+  Opt.Token_ = O->Token_;
+  Opt.Generation_ = std::uint32_t(Owners_.size() + 1);
+  Opt.ClaimedAt_ = Now_;
+  Opt.Lease_ = Lease;
+  Opt.InheritedLeasesEndAt_ =
+      Now_ + Lease + Milliseconds(400) +
+      (Clean ? Milliseconds(0) : Milliseconds(SelfFence));
+  O->State_ = scheduler::makeState(Opt, Catalog_, O->Copy_.Roster_);
+  for (const auto &[Id, W] : Workers_)
+    scheduler::onWorker(O->State_, W.Info_, Now_);
+  for (const auto &[Id, Row] : O->Copy_.Jobs_)
+    scheduler::onJob(O->State_, Id, Row, true, Now_, 0);
+  Owners_.push_back(std::move(O));
+  return owner();
+}
+
+void FleetCell::at(TimePoint When, std::function<void()> Run) {
+  Events_.push_back({When, NextOrder_++, std::move(Run)});
+  std::push_heap(Events_.begin(), Events_.end(),
+                 [](const Event &A, const Event &B) {
+                   return std::tie(A.At_, A.Order_) > std::tie(B.At_, B.Order_);
+                 });
+}
+
+void FleetCell::step(TimePoint Limit) {
+  auto Later = [](const Event &A, const Event &B) {
+    return std::tie(A.At_, A.Order_) > std::tie(B.At_, B.Order_);
+  };
+  TimePoint End = std::min(Limit, Now_ + TickInterval);
+  while (!Events_.empty() && Events_.front().At_ <= End) {
+    std::pop_heap(Events_.begin(), Events_.end(), Later);
+    Event E = std::move(Events_.back());
+    Events_.pop_back();
+    Now_ = std::max(Now_, E.At_);
+    E.Run_();
+    checkWorkers();
+  }
+  Now_ = End;
+  for (std::size_t I = 0; I < Owners_.size(); ++I)
+    turn(*Owners_[I]);
+  checkWorkers();
+}
+
+void FleetCell::run(Milliseconds Time) {
+  TimePoint End = Now_ + Time;
+  while (Now_ < End)
+    step(End);
+}
+
+bool FleetCell::runUntil(const std::function<bool()> &Condition,
+                         Milliseconds Limit) {
+  TimePoint End = Now_ + Limit;
+  while (Now_ < End && !Condition())
+    step(End);
+  return Condition();
+}
+
+bool FleetCell::isDown(const Owner &O) const {
+  return !O.Alive_ || O.FrozenUntil_ > Now_;
+}
+
+bool FleetCell::reaches(const WorkerId &Id) const {
+  auto It = Workers_.find(Id);
+  return It != Workers_.end() && It->second.Alive_ && !It->second.Cut_;
+}
+
+Milliseconds FleetCell::trip() {
+  return Milliseconds(1 + std::int64_t(Random_.below(4)));
+}
+
+Nature FleetCell::nature() {
+  return {FateOf_, [this](const TaskId &Id) {
+            auto It = Specs_.find(Id.Step_.Job_);
+            return It == Specs_.end() ? Resources{}
+                                      : workflow::chargedSize(
+                                            It->second.Steps_[Id.Step_.Step_]);
+          }};
+}
+
+void FleetCell::readStore(Owner &O) {
+  if (StoreDown_ || O.CutFromStore_)
+    return;
+  O.StoreContactAt_ = Now_;
+  for (; O.Read_ < Store_.size(); ++O.Read_) {
+    ledger::Change C = ledger::apply(O.Copy_, Store_[O.Read_]);
+    if (C.Kind_ == ledger::Change::Kind::Accepted)
+      scheduler::onJob(O.State_, C.Job_, O.Copy_.Jobs_.at(C.Job_), false, Now_,
+                       0);
+    else if (C.Kind_ == ledger::Change::Kind::Cancelled)
+      scheduler::onCancel(O.State_, C.Job_, Now_);
+  }
+}
+
+void FleetCell::turn(Owner &O) {
+  if (isDown(O) || O.State_.Fenced_)
+    return;
+  readStore(O);
+  if (Now_ - O.StoreContactAt_ >= SelfFence)
+    return;
+  scheduler::Outbox Out;
+  if (O.Rewrite_) {
+    scheduler::WriteCall C = *O.Rewrite_;
+    O.Rewrite_.reset();
+    send(O, C);
+  }
+  scheduler::tick(O.State_, Now_, 0, Out);
+  perform(O, Out);
+}
+
+void FleetCell::perform(Owner &O, scheduler::Outbox &Out) {
+  for (const auto &C : Out.Stops_)
+    send(O, C);
+  for (const auto &C : Out.Starts_)
+    send(O, C);
+  for (const auto &C : Out.Holds_)
+    send(O, C);
+  for (const auto &C : Out.Advice_)
+    send(O, C);
+  for (const auto &C : Out.Writes_)
+    send(O, C);
+}
+
+void FleetCell::send(Owner &O, const scheduler::HoldCall &C) {
+  TimePoint SentAt = Now_;
+  bool Lost = Random_.unit() < Failures_.LostAnswer_;
+  at(Now_ + trip(), [=, this, &O] {
+    scheduler::HoldReply Reply;
+    TimePoint AnswerAt = SentAt + C.Wait_ + HoldMargin;
+    if (reaches(C.To_.Worker_)) {
+      Reply = hold(Workers_.at(C.To_.Worker_), C, Now_);
+      if (Lost)
+        Reply = {};
+      else
+        AnswerAt = Now_ + trip();
+    }
+    at(AnswerAt, [=, this, &O] {
+      if (isDown(O))
+        return;
+      scheduler::Outbox Out;
+      scheduler::onHold(O.State_, C, Reply, SentAt, Now_, Out);
+      perform(O, Out);
+    });
+  });
+}
+
+void FleetCell::applyStart(const scheduler::StartCall &C,
+                           scheduler::OrderReply *Reply) {
+  if (!reaches(C.To_.Worker_))
+    return;
+  FakeWorker &W = Workers_.at(C.To_.Worker_);
+  advance(W, Now_);
+  auto Runs = [&] {
+    auto It = W.Runs_.find(C.Task_);
+    return It == W.Runs_.end() ? 0 : It->second.Number_;
+  };
+  std::uint32_t Before = Runs();
+  OrderReply R = start(W, C, nature(), Now_);
+  if (Runs() != Before)
+    checkStart(C);
+  if (Reply)
+    *Reply = R;
+}
+
+void FleetCell::send(Owner &O, const scheduler::StartCall &C) {
+  bool Lost = Random_.unit() < Failures_.LostAnswer_;
+  bool Late = Random_.unit() < Failures_.LateOrder_;
+  TimePoint SentAt = Now_;
+  if (Late) {
+    auto Delay = Milliseconds(2'000 + std::int64_t(Random_.below(10'000)));
+    at(Now_ + Delay, [=, this] { applyStart(C, nullptr); });
+  }
+  at(Now_ + trip(), [=, this, &O] {
+    OrderReply Reply;
+    if (!Late)
+      applyStart(C, &Reply);
+    bool Answered = Reply.Status_ != CallStatus::NoAnswer && !Lost;
+    if (!Answered)
+      Reply = {};
+    at(Answered ? Now_ + trip() : SentAt + OrderTimeout, [=, this, &O] {
+      if (isDown(O))
+        return;
+      scheduler::Outbox Out;
+      scheduler::onStart(O.State_, C, Reply, Now_, Out);
+      perform(O, Out);
+    });
+  });
+}
+
+void FleetCell::send(Owner &O, const scheduler::StopCall &C) {
+  bool Lost = Random_.unit() < Failures_.LostAnswer_;
+  TimePoint SentAt = Now_;
+  at(Now_ + trip(), [=, this, &O] {
+    OrderReply Reply;
+    bool Answered = reaches(C.To_.Worker_);
+    if (Answered)
+      Reply = stop(Workers_.at(C.To_.Worker_), C, Now_);
+    if (Lost || !Answered)
+      Reply = {};
+    at(Lost || !Answered ? SentAt + OrderTimeout : Now_ + trip(),
+       [=, this, &O] {
+         if (!isDown(O))
+           scheduler::onStop(O.State_, C, Reply, Now_);
+       });
+  });
+}
+
+void FleetCell::send(Owner &O, const scheduler::AdviceCall &C) {
+  ++AdviceCalls_;
+  scheduler::AdviceReply Reply{true, {}, Milliseconds(2'000)};
+  for (const WorkerId &W : C.Workers_)
+    if (Allows_(W))
+      Reply.Rows_.push_back({W, "permit-" + W});
+  at(Now_ + Milliseconds(20), [=, this, &O] {
+    if (!isDown(O))
+      scheduler::onAdvice(O.State_, C, Reply, Now_);
+  });
+}
+
+void FleetCell::send(Owner &O, const scheduler::WriteCall &C) {
+  at(Now_ + AppendTime, [=, this, &O] {
+    bool Reaches = !StoreDown_ && !O.CutFromStore_;
+    if (!Reaches || isDown(O)) {
+      if (!isDown(O))
+        scheduler::onWrite(O.State_, C.Id_, false, Now_);
+      return;
+    }
+    if (O.Token_ < Epoch_) {
+      O.State_.Fenced_ = true;
+      return;
+    }
+    for (ledger::KeyedRecord R : C.Records_) {
+      R.Offset_ = Store_.size();
+      Store_.push_back(std::move(R));
+    }
+    // The same records again are harmless: they hold the whole progress.
+    if (Random_.unit() < Failures_.LostAppend_) {
+      O.Rewrite_ = C;
+      return;
+    }
+    scheduler::onWrite(O.State_, C.Id_, true, Now_);
+  });
+}
+
+void FleetCell::broken(const std::string &What) {
+  Broken_.push_back(std::to_string(elapsed(TimePoint{}, Now_).count()) + " " +
+                    What);
+}
+
+void FleetCell::checkStart(const scheduler::StartCall &C) {
+  std::string Name = workflow::toString(C.Task_) + "#" +
+                     std::to_string(C.Run_) + "@" + C.To_.Worker_;
+  Starts_.push_back(Name);
+  if (whereIs(C.Task_).size() > 1)
+    broken("twice at once " + Name);
+  ledger::Replica Now;
+  for (const ledger::KeyedRecord &R : Store_)
+    ledger::apply(Now, R);
+  const ledger::JobRow &Row = Now.Jobs_.at(C.Task_.Step_.Job_);
+  auto Cancelled = CancelledAt_.find(C.Task_.Step_.Job_);
+  if (Cancelled != CancelledAt_.end() && Now_ - Cancelled->second > CancelBound)
+    broken("started after cancel " + Name);
+  for (const auto &O : Row.Progress_.Open_) {
+    if (O.Number_ != C.Task_.Step_.Occurrence_ ||
+        C.Task_.Step_.Step_ >= O.Steps_.size())
+      continue;
+    const workflow::StepProgress &P = O.Steps_[C.Task_.Step_.Step_];
+    if (P.Done_[C.Task_.Index_])
+      broken("started after done " + Name);
+    for (const workflow::TaskFailures &F : P.Failures_)
+      if (F.Index_ == C.Task_.Index_ &&
+          F.Runs_.size() >= Row.Accepted_.Queue_.MaxAttempts_)
+        broken("started after its attempts " + Name);
+  }
+}
+
+void FleetCell::checkWorkers() {
+  for (auto &[Id, W] : Workers_) {
+    if (!W.Alive_)
+      continue;
+    advance(W, Now_);
+    Resources Used;
+    for (const auto &[Task, R] : W.Runs_)
+      Used += R.Size_;
+    if (!fits(Used, W.Info_.Capacity_))
+      broken("over capacity " + Id);
+  }
+}
+
+workflow::JobState FleetCell::state(const JobId &Job) const {
+  ledger::Replica Copy;
+  for (const ledger::KeyedRecord &R : Store_)
+    ledger::apply(Copy, R);
+  auto It = Copy.Jobs_.find(Job);
+  return It == Copy.Jobs_.end() ? workflow::JobState::Queued
+                                : ledger::shownState(It->second);
+}
+
+bool FleetCell::allClosed() const {
+  ledger::Replica Copy;
+  for (const ledger::KeyedRecord &R : Store_)
+    ledger::apply(Copy, R);
+  return std::all_of(Copy.Jobs_.begin(), Copy.Jobs_.end(), [](const auto &J) {
+    return workflow::isClosed(ledger::shownState(J.second));
+  });
+}
+
+std::vector<WorkerId> FleetCell::whereIs(const TaskId &Id) const {
+  std::vector<WorkerId> Out;
+  for (const auto &[Name, W] : Workers_)
+    if (W.Alive_ && W.Runs_.count(Id))
+      Out.push_back(Name);
+  return Out;
+}
+
+} // namespace pollenvale::fleettest
--- /dev/null
+++ b/tests/fleet/fleet_cell.hpp
@@ -0,0 +1,128 @@
+/// \file
+/// Owners of one slice, its workers and the store on a virtual clock, with
+/// failures that a test sets. Every event is followed by a check of what must
+/// always hold.
+#pragma once
+
+#include "fleet/fake_worker.hpp"
+#include "ledger/ledger.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace pollenvale::fleettest {
+
+/// One entry that owns the slice, or believes so.
+struct Owner {
+  scheduler::State State_;
+  ledger::Replica Copy_;
+  std::size_t Read_ = 0; ///< Records of the store read so far.
+  Token Token_ = 0;
+  bool Alive_ = true;
+  bool CutFromStore_ = false;
+  TimePoint FrozenUntil_{};
+  TimePoint StoreContactAt_{};
+  std::optional<scheduler::WriteCall> Rewrite_;
+};
+
+/// Shares of calls that go wrong, 0 to 1.
+struct Failures {
+  double LostAnswer_ = 0; ///< Carried out; the answer is lost.
+  double LateOrder_ = 0;  ///< No answer; carried out 2 to 12 s later.
+  double LostAppend_ = 0; ///< Stored; the answer is lost.
+};
+
+/// What was promised of one task and what came of it.
+struct TaskStory {
+  bool DoneStored_ = false; ///< Its end is stored and acknowledged.
+  unsigned FailedStored_ = 0;
+};
+
+class FleetCell {
+public:
+  explicit FleetCell(std::uint64_t Seed = 1) : Random_{Seed} {}
+
+  /// Adds a worker of 8 cores that the registry names.
+  FakeWorker &addWorker(const WorkerId &Id,
+                        Resources Capacity = {8'000, 8'000, 0});
+  void addQueue(workflow::Queue Q) { Catalog_.Queues_.push_back(std::move(Q)); }
+  /// A queue "q" of the service "s" with 3 attempts a task.
+  void addPlainQueue();
+  void submit(const JobId &Job, workflow::WorkflowSpec Spec);
+  void cancel(const JobId &Job);
+  /// A new owner claims the slice. \p Clean: the former gave it up.
+  Owner &takeOver(bool Clean = false);
+  void killOwner();
+
+  /// Runs until the time has come.
+  void run(Milliseconds Time);
+  /// Runs until \p Condition or the time is over; false if it is over.
+  bool runUntil(const std::function<bool()> &Condition,
+                Milliseconds Limit = Milliseconds(30'000));
+
+  workflow::JobState state(const JobId &Job) const;
+  bool allClosed() const;
+  Owner &owner() { return *Owners_.back(); }
+  FakeWorker &worker(const WorkerId &Id) { return Workers_.at(Id); }
+  /// Workers on which a run of the task is at work.
+  std::vector<WorkerId> whereIs(const TaskId &Id) const;
+
+  TimePoint Now_{std::chrono::seconds(1'000)};
+  std::map<WorkerId, FakeWorker> Workers_;
+  std::vector<std::unique_ptr<Owner>> Owners_;
+  workflow::Catalog Catalog_;
+  Failures Failures_;
+  bool StoreDown_ = false;
+  Random Random_;
+  /// How runs go; by default each is done after 200 ms.
+  std::function<Fate(const TaskId &, std::uint32_t)> FateOf_ =
+      [](const TaskId &, std::uint32_t) { return Fate{Milliseconds(200)}; };
+  std::vector<std::string> Starts_; ///< "TASK#RUN@WORKER" in order.
+  std::vector<std::string> Broken_; ///< Rules broken so far.
+  std::uint64_t AdviceCalls_ = 0;
+  /// Answer of the policy; by default it allows every worker.
+  std::function<bool(const WorkerId &)> Allows_ = [](const WorkerId &) {
+    return true;
+  };
+
+private:
+  struct Event {
+    TimePoint At_;
+    std::uint64_t Order_;
+    std::function<void()> Run_;
+  };
+
+  void at(TimePoint When, std::function<void()> Run);
+  void step(TimePoint Limit);
+  void turn(Owner &O);
+  void perform(Owner &O, scheduler::Outbox &Out);
+  void send(Owner &O, const scheduler::HoldCall &C);
+  void send(Owner &O, const scheduler::StartCall &C);
+  void send(Owner &O, const scheduler::StopCall &C);
+  void send(Owner &O, const scheduler::AdviceCall &C);
+  void send(Owner &O, const scheduler::WriteCall &C);
+  void readStore(Owner &O);
+  void applyStart(const scheduler::StartCall &C, scheduler::OrderReply *Reply);
+  void checkStart(const scheduler::StartCall &C);
+  void checkWorkers();
+  void broken(const std::string &What);
+  bool isDown(const Owner &O) const;
+  bool reaches(const WorkerId &W) const;
+  Milliseconds trip();
+  Nature nature();
+
+  std::vector<ledger::KeyedRecord> Store_;
+  Token Epoch_ = 0;
+  std::vector<Event> Events_;
+  std::uint64_t NextOrder_ = 0;
+  std::map<JobId, workflow::WorkflowSpec> Specs_;
+  std::map<JobId, TimePoint> CancelledAt_;
+  std::map<TaskId, TaskStory> Stories_;
+  std::uint64_t Born_ = 1;
+};
+
+/// A step of \p Count tasks of one core each.
+workflow::StepSpec plainStep(std::uint32_t Count);
+workflow::WorkflowSpec plainJob(std::vector<workflow::StepSpec> Steps);
+
+} // namespace pollenvale::fleettest
--- /dev/null
+++ b/tests/fleet/run-fleet-schedules.cpp
@@ -0,0 +1,139 @@
+/// \file
+/// Random schedules of failures against the owner of a slice. Usage:
+/// run_fleet_schedules FIRST_SEED COUNT. Prints each seed that breaks a rule.
+#include "fleet/fleet_cell.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+
+namespace {
+
+constexpr int Workers = 6;
+constexpr int Jobs = 25;
+constexpr Milliseconds Busy{30'000};
+/// After the last failure everything must be done within this time.
+constexpr Milliseconds Settle{90'000};
+
+workflow::WorkflowSpec randomJob(Random &R) {
+  std::vector<workflow::StepSpec> Steps;
+  std::size_t Count = 1 + R.below(3);
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    workflow::StepSpec S = plainStep(1 + std::uint32_t(R.below(8)));
+    S.Size_.Cpu_ = 500 + std::int64_t(R.below(3'000));
+    if (I > 0 && R.below(2))
+      S.After_ = {I - 1};
+    if (R.below(5) == 0) {
+      S.Gang_ = true;
+      S.Count_ = 1 + std::uint32_t(R.below(3));
+    }
+    S.MaxPerWorker_ = R.below(4) == 0 ? 2 : 0;
+    Steps.push_back(S);
+  }
+  return plainJob(std::move(Steps));
+}
+
+/// One failure, drawn at random.
+void strike(FleetCell &C, std::int64_t &Born) {
+  Random &R = C.Random_;
+  auto Any = std::next(C.Workers_.begin(), std::int64_t(R.below(Workers)));
+  FakeWorker &W = Any->second;
+  switch (R.below(9)) {
+  case 0:
+    C.killOwner();
+    C.run(Milliseconds(R.below(3'000)));
+    C.takeOver();
+    break;
+  case 1:
+    C.owner().CutFromStore_ = true;
+    C.run(Milliseconds(1'900 + std::int64_t(R.below(500))));
+    C.takeOver();
+    break;
+  case 2:
+    C.owner().FrozenUntil_ = C.Now_ + Milliseconds(R.below(6'000));
+    C.run(Milliseconds(1'900));
+    C.takeOver();
+    break;
+  case 3:
+    W.Cut_ = !W.Cut_;
+    break;
+  case 4:
+    if (W.Alive_ && !W.Cut_) {
+      restart(W, ++Born);
+      scheduler::onWorker(C.owner().State_, W.Info_, C.Now_);
+    }
+    break;
+  case 5:
+    C.StoreDown_ = !C.StoreDown_;
+    break;
+  case 6:
+    C.Failures_.LostAnswer_ = double(R.below(30)) / 100;
+    break;
+  case 7:
+    C.Failures_.LateOrder_ = double(R.below(20)) / 100;
+    break;
+  case 8:
+    C.Failures_.LostAppend_ = double(R.below(40)) / 100;
+    break;
+  }
+}
+
+void heal(FleetCell &C) {
+  C.StoreDown_ = false;
+  C.Failures_ = {};
+  for (auto &[Id, W] : C.Workers_)
+    W.Cut_ = false;
+  for (auto &O : C.Owners_)
+    O->CutFromStore_ = false;
+}
+
+bool runSeed(std::uint64_t Seed) {
+  FleetCell C(Seed);
+  C.addPlainQueue();
+  if (Seed % 2)
+    C.Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{20, 1, 2'000};
+  for (int I = 0; I < Workers; ++I)
+    C.addWorker("w" + std::to_string(I));
+  C.FateOf_ = [&C](const TaskId &, std::uint32_t) {
+    Random &R = C.Random_;
+    return Fate{Milliseconds(50 + std::int64_t(R.below(2'500))),
+                R.below(12) == 0 ? EndKind::Failed : EndKind::Done};
+  };
+  C.takeOver();
+  std::int64_t Born = 1'000;
+  TimePoint End = C.Now_ + Busy;
+  for (int Job = 0; C.Now_ < End;) {
+    C.run(Milliseconds(C.Random_.below(1'200)));
+    if (Job < Jobs)
+      C.submit("j" + std::to_string(Job++), randomJob(C.Random_));
+    if (Job > 3 && C.Random_.below(8) == 0)
+      C.cancel("j" + std::to_string(C.Random_.below(std::uint64_t(Job))));
+    if (C.Random_.below(3) == 0)
+      strike(C, Born);
+  }
+  heal(C);
+  if (C.owner().State_.Fenced_ || !C.owner().Alive_)
+    C.takeOver();
+  bool Done = C.runUntil([&] { return C.allClosed(); }, Settle);
+  C.run(Milliseconds(14'000));
+  if (!Done)
+    std::printf("seed %llu: jobs left open\n", (unsigned long long)Seed);
+  for (const std::string &What : C.Broken_)
+    std::printf("seed %llu: %s\n", (unsigned long long)Seed, What.c_str());
+  return Done && C.Broken_.empty();
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  std::uint64_t First = Count > 1 ? std::strtoull(Values[1], nullptr, 10) : 1;
+  std::uint64_t Seeds = Count > 2 ? std::strtoull(Values[2], nullptr, 10) : 20;
+  std::uint64_t Bad = 0;
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed)
+    Bad += !runSeed(Seed);
+  std::printf("%llu seeds, %llu broken\n", (unsigned long long)Seeds,
+              (unsigned long long)Bad);
+  return Bad == 0 ? 0 : 1;
+}
