An owner stops at the fence of a later one in its own partition

Change: the fence is a record of the partition itself, so it comes before every job that is not the earlier owner's; reading it ends the ownership.

--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -127,9 +127,14 @@
 }
 
 void SliceOwner::onRecord(const ledger::Change &Change) {
+  using Kind = ledger::Change::Kind;
+  // Jobs after the fence of another owner are not this one's, even if the claim
+  // itself has not been read yet.
+  if (Change.Kind_ == Kind::Fenced && Change.Slice_ == Slice_ &&
+      Change.Claim_ > Claim_.Number_)
+    return lose("a higher claim has fenced the jobs");
   if (Stage_ != Stage::Running)
     return;
-  using Kind = ledger::Change::Kind;
   if (Change.Kind_ == Kind::Accepted && isMine(Change.Job_)) {
     const ledger::JobRow &Row =
         Context_.Partition_->Replica_.Jobs_.at(Change.Job_);
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -43,6 +43,8 @@
 /// Empty when \p Value can't be read.
 std::optional<AcceptedJob> parseJob(const std::string &Value);
 std::optional<workflow::Progress> parseProgress(const std::string &Value);
+/// Claim of a fence; 0 when it can't be read.
+std::uint64_t parseFence(const std::string &Value);
 std::optional<Roster> parseRoster(const std::string &Value);
 
 } // namespace pollenvale::ledger
--- a/packages/ledger/detail/replica.hpp
+++ b/packages/ledger/detail/replica.hpp
@@ -26,9 +26,13 @@
 
 /// What one record changed.
 struct Change {
-  enum class Kind { None, Accepted, Cancelled, Progress, Removed };
+  enum class Kind { None, Accepted, Cancelled, Progress, Removed, Fenced };
   Kind Kind_ = Kind::None;
   JobId Job_;
+  /// Of Fenced: the slice that has a new owner, and its claim. Every record
+  /// after it is for that owner alone.
+  std::string Slice_ = {};
+  std::uint64_t Claim_ = 0;
 };
 
 /// Applies \p R. Applying one twice has the effect of applying it once.
--- a/packages/ledger/src/record.cpp
+++ b/packages/ledger/src/record.cpp
@@ -84,6 +84,10 @@
   return unpack<workflow::Progress>(Value);
 }
 
+std::uint64_t parseFence(const std::string &Value) {
+  return std::strtoull(Value.c_str(), nullptr, 10);
+}
+
 std::optional<Roster> parseRoster(const std::string &Value) {
   return unpack<Roster>(Value);
 }
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -67,7 +67,7 @@
       ++Copy.Unreadable_;
     return {};
   case RecordKind::Fence:
-    return {};
+    return {Change::Kind::Fenced, {}, R.Key_.substr(1), parseFence(R.Value_)};
   case RecordKind::Unknown:
     ++Copy.Unreadable_;
     return {};
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -25,6 +25,9 @@
   Fate Fate_;
   Resources Size_;
   std::optional<TimePoint> StopsAt_;
+  bool Gang_ = false;
+  /// When it began to work; a gang's members begin when all are there.
+  std::optional<TimePoint> WorksSince_ = {};
 };
 
 struct FakeWorker {
@@ -45,9 +48,12 @@
 struct Nature {
   std::function<Fate(const TaskId &, std::uint32_t Run)> Fate_;
   std::function<Resources(const TaskId &)> Size_;
+  std::function<bool(const TaskId &)> IsGang_;
 };
 
 Milliseconds clockOf(const FakeWorker &W, TimePoint Now);
+/// Ends the run at once.
+void end(FakeWorker &W, const TaskId &Id, EndKind Kind);
 /// Ends what is over by \p Now: done, failed, stopped or without a lease.
 void advance(FakeWorker &W, TimePoint Now);
 /// Its process ends and starts again, knowing nothing.
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -60,6 +60,9 @@
   bool runUntil(const std::function<bool()> &Condition,
                 Milliseconds Limit = Milliseconds(30'000));
 
+  /// Adds a line to the trace.
+  void note(const std::string &What);
+
   workflow::JobState state(const JobId &Job) const;
   bool allClosed() const;
   Owner &owner() { return *Owners_.back(); }
@@ -78,6 +81,7 @@
   std::function<Fate(const TaskId &, std::uint32_t)> FateOf_ =
       [](const TaskId &, std::uint32_t) { return Fate{Milliseconds(200)}; };
   std::vector<std::string> Starts_; ///< "TASK#RUN@WORKER" in order.
+  std::vector<std::string> Trace_;  ///< What happened, for a reader.
   std::vector<std::string> Broken_; ///< Rules broken so far.
   std::uint64_t AdviceCalls_ = 0;
   /// Answer of the policy; by default it allows every worker.
@@ -103,8 +107,11 @@
   void send(Owner &O, const scheduler::WriteCall &C);
   void readStore(Owner &O);
   void applyStart(const scheduler::StartCall &C, scheduler::OrderReply *Reply);
+  TimePoint contactOf(Token T) const;
   void checkStart(const scheduler::StartCall &C);
   void checkWorkers();
+  /// Gangs whose members are all there begin; those that lost one break up.
+  void joinGangs();
   void broken(const std::string &What);
   bool isDown(const Owner &O) const;
   bool reaches(const WorkerId &W) const;
