Group commit at the entries; tasks that stand still move

Ruled out: the rolling stops at the same time (slices changed hands within 0.2 s).

Change: an entry has one append in flight a partition; what comes meanwhile shares the next. A task whose percent stands still for 3 s, or ten times a percent of its declared run time, is stopped and starts elsewhere.

--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -52,12 +52,21 @@
   Reply Reply_;
 };
 
+/// Writes to one partition: one append at a time. A store that is slow carries
+/// out one append of a partition after the other, so what comes meanwhile goes
+/// together into the next.
+struct Lane {
+  bool InFlight_ = false;
+  std::list<std::shared_ptr<PendingWrite>> Waiting_;
+};
+
 struct Intake {
   ledger::Store *Store_ = nullptr;
   std::function<TimePoint()> Clock_; ///< Time at which answers arrive.
   std::map<std::uint32_t, PartitionCopy> Partitions_;
   std::list<Waiter> Waiters_;
   std::list<std::shared_ptr<PendingWrite>> Writes_;
+  std::map<std::uint32_t, Lane> Lanes_;
   std::optional<TimePoint> OutageSince_; ///< The store has failed since then.
   TimePoint LastFailureAt_{}; ///< Last append that the store did not carry out.
   std::size_t InFlight_ = 0;  ///< Appends whose answer is awaited.
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -11,8 +11,7 @@
 
 /// Kept back from a caller's deadline for the way of the answer.
 constexpr Milliseconds AnswerMargin{350};
-constexpr Milliseconds MaxAppendTime{1'000};
-constexpr Milliseconds MinAppendTime{50};
+constexpr Milliseconds MaxAppendTime{1'500};
 /// A store silent for this long takes no new jobs.
 constexpr Milliseconds SilenceLimit{2'600};
 
@@ -54,18 +53,16 @@
   W->Reply_(std::move(A));
 }
 
-void send(Intake &I, const std::shared_ptr<PendingWrite> &W, TimePoint Now);
+using Batch = std::vector<std::shared_ptr<PendingWrite>>;
+
+void sendNext(Intake &I, std::uint32_t Partition);
 
 void onAppended(Intake &I, const std::shared_ptr<PendingWrite> &W,
-                const AppendReply &R) {
-  --I.InFlight_;
+                StoreStatus Status) {
   W->InFlight_ = false;
-  if (R.Status_ == StoreStatus::Done)
+  if (Status == StoreStatus::Done)
     return answer(I, W, {Outcome::Stored});
-  I.LastFailureAt_ = I.Clock_();
-  if (!I.OutageSince_)
-    I.OutageSince_ = I.LastFailureAt_;
-  if (R.Status_ != StoreStatus::NotDone)
+  if (Status != StoreStatus::NotDone)
     W->MayBeStored_ = true;
   // Nothing was stored and nothing can be: the caller may go elsewhere.
   if (!W->MayBeStored_)
@@ -74,16 +71,60 @@
                             "the store refused the record"));
 }
 
-void send(Intake &I, const std::shared_ptr<PendingWrite> &W, TimePoint Now) {
+void onBatch(Intake &I, std::uint32_t Partition, const Batch &Sent,
+             StoreStatus Status) {
+  --I.InFlight_;
+  I.Lanes_[Partition].InFlight_ = false;
+  if (Status != StoreStatus::Done) {
+    I.LastFailureAt_ = I.Clock_();
+    if (!I.OutageSince_)
+      I.OutageSince_ = I.LastFailureAt_;
+  }
+  for (const std::shared_ptr<PendingWrite> &W : Sent)
+    onAppended(I, W, Status);
+  sendNext(I, Partition);
+}
+
+/// Takes what waits and fits into one append.
+Batch takeBatch(Lane &L) {
+  constexpr std::size_t MaxBatchBytes = 512 * 1024;
+  Batch Out;
+  std::size_t Bytes = 0;
+  while (!L.Waiting_.empty() && Bytes < MaxBatchBytes) {
+    std::shared_ptr<PendingWrite> W = L.Waiting_.front();
+    L.Waiting_.pop_front();
+    if (W->Answered_)
+      continue;
+    Bytes += W->Record_.Value_.size();
+    Out.push_back(std::move(W));
+  }
+  return Out;
+}
+
+void sendNext(Intake &I, std::uint32_t Partition) {
+  Lane &L = I.Lanes_[Partition];
+  if (L.InFlight_)
+    return;
+  Batch Next = takeBatch(L);
+  if (Next.empty())
+    return;
   ledger::AppendCall Call;
-  Call.To_ = {JobTopic, W->Partition_};
-  Call.Records_ = {W->Record_};
-  Call.Timeout_ =
-      std::clamp(elapsed(Now, W->GiveUpAt_), MinAppendTime, MaxAppendTime);
+  Call.To_ = {JobTopic, Partition};
+  for (const std::shared_ptr<PendingWrite> &W : Next)
+    Call.Records_.push_back(W->Record_);
+  Call.Timeout_ = MaxAppendTime;
   ++I.InFlight_;
-  W->InFlight_ = true;
+  L.InFlight_ = true;
   I.Store_->append(std::move(Call),
-                   [&I, W](const AppendReply &R) { onAppended(I, W, R); });
+                   [&I, Partition, Next](const AppendReply &R) {
+                     onBatch(I, Partition, Next, R.Status_);
+                   });
+}
+
+void send(Intake &I, const std::shared_ptr<PendingWrite> &W) {
+  W->InFlight_ = true;
+  I.Lanes_[W->Partition_].Waiting_.push_back(W);
+  sendNext(I, W->Partition_);
 }
 
 void append(Intake &I, std::uint32_t Partition, const JobId &Job, bool Cancel,
@@ -96,7 +137,7 @@
   W->GiveUpAt_ = T.Now_ + timeFor(T);
   W->Reply_ = std::move(Done);
   I.Writes_.push_back(W);
-  send(I, W, T.Now_);
+  send(I, W);
 }
 
 bool isShown(const Intake &I, const PendingWrite &W) {
@@ -117,7 +158,7 @@
                       "no answer from the store; the record may be stored"));
     } else if (!W->InFlight_ && isStoreReachable(I, Now)) {
       count(I.Counters_, "write-resent");
-      send(I, W, Now);
+      send(I, W);
     }
   }
 }
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -192,3 +192,17 @@
   F.read({F.record()});
   cr_assert_eq(pending(F.Intake_, F.Queue_), 1u);
 }
+
+Test(intake, writes_during_an_append_share_the_next_one) {
+  // A slow store carries out one append of a partition after the other.
+  Fixture F;
+  for (const char *Job : {"j1", "j2", "j3", "j4"})
+    intake::submit(F.Intake_, F.Queue_, Job, Fixture::spec(), F.times(),
+                   F.reply());
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  F.Store_.answer(StoreStatus::Done);
+  cr_assert_eq(F.Store_.Appends_.size(), 2u);
+  cr_assert_eq(F.Store_.Appends_[1].Records_.size(), 3u);
+  F.Store_.answer(StoreStatus::Done);
+  cr_assert_eq(F.Answers_.size(), 4u);
+}
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -58,6 +58,14 @@
 /// Sends the start of the task's run.
 StartCall makeStart(State &S, const TaskId &Id, TimePoint Now);
 
+/// No more than half of the workers are set aside at a time.
+bool maySetAside(const State &S, TimePoint Now);
+/// Takes the reported progress of a run into account.
+void noteProgress(const workflow::StepSpec &Spec, Run &X, unsigned Percent,
+                  TimePoint Now);
+/// Stops tasks on the worker that stand still, so that they start elsewhere.
+void stopStalled(State &S, Worker &W, TimePoint Now, Outbox &Out);
+
 void planHolds(State &S, TimePoint Now, Outbox &Out);
 void resendOrders(State &S, TimePoint Now, Outbox &Out);
 void checkInheritance(State &S, TimePoint Now, Outbox &Out);
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -92,6 +92,13 @@
     stopRun(S, {Id, I});
 }
 
+bool maySetAside(const State &S, TimePoint Now) {
+  auto Aside =
+      std::count_if(S.Workers_.begin(), S.Workers_.end(),
+                    [&](const auto &W) { return Now < W.second.AvoidUntil_; });
+  return std::size_t(Aside) * 2 < S.Workers_.size();
+}
+
 namespace {
 
 void endDone(State &S, Job &J, const EndedTask &End, TimePoint Now) {
@@ -133,14 +140,6 @@
 constexpr std::size_t JobsBeforeAvoiding = 3;
 constexpr Milliseconds AvoidTime{4'000};
 
-/// No more than half of the workers are set aside at a time.
-bool maySetAside(const State &S, TimePoint Now) {
-  auto Aside =
-      std::count_if(S.Workers_.begin(), S.Workers_.end(),
-                    [&](const auto &W) { return Now < W.second.AvoidUntil_; });
-  return std::size_t(Aside) * 2 < S.Workers_.size();
-}
-
 void noteEvidence(State &S, Worker &W, const EndedTask &End, TimePoint Now,
                   Outbox &Out) {
   if (End.Kind_ == EndKind::Done) {
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -134,16 +134,14 @@
   return J && T && !T->Done_ && !workflow::isClosed(J->State_);
 }
 
-void refreshRun(Task &T, const RunningTask &R, TimePoint Now) {
+void refreshRun(const workflow::StepSpec &Spec, Task &T, const RunningTask &R,
+                TimePoint Now) {
   Run &X = *T.Run_;
   if (X.Phase_ == RunPhase::Starting && !X.InFlight_) {
     X.Phase_ = RunPhase::Running;
     X.SettledAt_ = Now;
   }
-  if (R.Percent_ > X.Percent_) {
-    X.Percent_ = R.Percent_;
-    X.AdvancedAt_ = Now;
-  }
+  noteProgress(Spec, X, R.Percent_, Now);
   if (!R.Checkpoint_.empty())
     T.Checkpoint_ = R.Checkpoint_;
 }
@@ -160,7 +158,7 @@
       Mine = true;
     }
     if (Mine) {
-      refreshRun(*T, R, Now);
+      refreshRun(*findSpec(S, R.Task_.Step_), *T, R, Now);
       if (!R.Checkpoint_.empty())
         findStep(S, R.Task_.Step_)->GangCheckpoint_ = R.Checkpoint_;
       continue;
@@ -284,6 +282,7 @@
   detail::applyRunning(S, W, Reply, First, Now, Out);
   detail::dropAbsent(S, W, Reply, SentAt);
   detail::adjustPace(S, W, Reply, Out);
+  detail::stopStalled(S, W, Now, Out);
   detail::account(S, Call.To_.Worker_);
   if (First) {
     S.PlaceWanted_ = true;
--- /dev/null
+++ b/packages/scheduler/tests/unit-stalls.cpp
@@ -0,0 +1,57 @@
+/// Tasks that stand still on a worker that answers.
+#include "fleet/fleet_cell.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+
+namespace {
+
+/// Workers whose tasks report the percents that a test sets.
+FleetCell makeCell(workflow::StepSpec S) {
+  FleetCell C;
+  C.addPlainQueue();
+  C.addWorker("a");
+  C.addWorker("b");
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(60'000)};
+  };
+  for (auto &[Id, W] : C.Workers_)
+    W.Percent_ = 0;
+  C.takeOver();
+  C.submit("j1", plainJob({S}));
+  C.run(Milliseconds(300));
+  return C;
+}
+
+} // namespace
+
+Test(stalls, a_task_that_stands_still_starts_elsewhere) {
+  FleetCell C = makeCell(plainStep(1));
+  cr_assert_eq(C.Starts_.size(), 1u);
+  C.run(Milliseconds(6'000));
+  cr_assert_geq(C.Starts_.size(), 2u);
+  cr_assert_neq(C.Starts_[0].back(), C.Starts_[1].back());
+  cr_assert(C.Broken_.empty());
+}
+
+Test(stalls, a_task_that_advances_is_left_alone) {
+  FleetCell C = makeCell(plainStep(1));
+  for (unsigned Percent = 1; Percent < 10; ++Percent) {
+    for (auto &[Id, W] : C.Workers_)
+      W.Percent_ = Percent;
+    C.run(Milliseconds(1'500));
+  }
+  cr_assert_eq(C.Starts_.size(), 1u);
+}
+
+Test(stalls, a_service_task_at_work_does_not_advance) {
+  workflow::StepSpec S = plainStep(1);
+  S.LongRunning_ = true;
+  FleetCell C = makeCell(S);
+  for (auto &[Id, W] : C.Workers_)
+    W.Percent_ = 100;
+  C.run(Milliseconds(20'000));
+  cr_assert_eq(C.Starts_.size(), 1u);
+}
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -105,6 +105,19 @@
   return {CallStatus::Done, clockOf(W, Now)};
 }
 
+namespace {
+
+unsigned percentOf(const FakeWorker &W, const FakeRun &R, TimePoint Now) {
+  if (W.Percent_)
+    return *W.Percent_;
+  if (!R.WorksSince_ || R.Fate_.Length_.count() == 0)
+    return 0;
+  return unsigned(100 * elapsed(*R.WorksSince_, Now).count() /
+                  R.Fate_.Length_.count());
+}
+
+} // namespace
+
 scheduler::HoldReply hold(FakeWorker &W, const scheduler::HoldCall &C,
                           TimePoint Now) {
   advance(W, Now);
@@ -120,7 +133,8 @@
                 [&](const EndedTask &E) { return E.Number_ <= C.AckedEnd_; });
   Out.Ended_ = W.Ends_;
   for (const auto &[Id, R] : W.Runs_)
-    Out.Running_.push_back({Id, R.Number_, "", 0, double(W.Gauge_)});
+    Out.Running_.push_back(
+        {Id, R.Number_, "", percentOf(W, R, Now), double(W.Gauge_)});
   return Out;
 }
 
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -41,6 +41,8 @@
   std::map<TaskId, std::uint32_t> Past_; ///< Highest run ended or stopped.
   std::vector<EndedTask> Ends_;
   std::uint64_t LastEnd_ = 0;
+  /// What it reports of every task; empty for the share of its run time.
+  std::optional<unsigned> Percent_;
   unsigned Gauge_ = 0; ///< What it reports of every task.
 };
 
