--- a/packages/scheduler/detail/placing.hpp
+++ b/packages/scheduler/detail/placing.hpp
@@ -15,7 +15,11 @@
   TimePoint DueAt_{};
   TimePoint AcceptedAt_{};
 
-  auto operator<=>(const WaitKey &) const = default;
+  auto key() const {
+    return std::tie(Hopeless_, Overdue_, Priority_, DueAt_, AcceptedAt_);
+  }
+  bool operator<(const WaitKey &O) const { return key() < O.key(); }
+  bool operator==(const WaitKey &O) const { return key() == O.key(); }
 };
 
 WaitKey waitKey(const Job &J, const Step &P, TimePoint Now);
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -134,6 +134,14 @@
   bool HasRoster_ = false;
 };
 
+/// Room of a worker that is kept for one step until a time.
+struct Reservation {
+  StepId Step_;
+  WorkerId Worker_;
+  Resources Room_;
+  TimePoint Until_{};
+};
+
 struct State {
   Options Options_;
   workflow::Catalog Catalog_;
@@ -149,6 +157,7 @@
   std::optional<PendingWrite> Writing_;
   TimePoint WriteNotBefore_{};
   std::uint64_t NextWrite_ = 1;
+  std::vector<Reservation> Reservations_;
   bool RosterDirty_ = false;
   bool AcksDirty_ = false;
   bool PlaceWanted_ = false; ///< Something changed since the last placement.
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -45,6 +45,58 @@
   return Count;
 }
 
+/// Room on the worker that other steps have reserved.
+Resources reservedByOthers(const State &S, const WorkerId &W,
+                           const StepId &Id) {
+  Resources Out;
+  for (const Reservation &R : S.Reservations_)
+    if (R.Worker_ == W && !(R.Step_ == Id))
+      Out += R.Room_;
+  return Out;
+}
+
+void dropReservations(State &S, const StepId &Id) {
+  std::erase_if(S.Reservations_,
+                [&](const Reservation &R) { return R.Step_ == Id; });
+}
+
+/// Keeps room on the workers that the policy is asked about: it takes longer to
+/// answer than short tasks take to fill the room.
+void reserveNamed(State &S, const AdviceCall &Call, const Resources &Size,
+                  TimePoint Now) {
+  constexpr Milliseconds AnswerMargin{400};
+  dropReservations(S, Call.Step_);
+  for (const WorkerId &W : Call.Workers_)
+    S.Reservations_.push_back(
+        {Call.Step_, W, Size, Now + Call.Expected_ + AnswerMargin});
+}
+
+/// Keeps the worker with the most free room, among those that could ever take
+/// a task of the step, from taking other tasks until there is room.
+void reserveLargest(State &S, const StepId &Id, TimePoint Now) {
+  constexpr Milliseconds Longest{300};
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  const Job &J = S.Jobs_.at(Id.Job_);
+  const Step &P = *findStep(S, Id);
+  Resources Size = workflow::chargedSize(Spec);
+  const Worker *Best = nullptr;
+  for (const auto &[Name, W] : S.Workers_) {
+    bool Suits =
+        takesTasks(W, Now) && W.Info_.Service_ == J.Queue_.Service_ &&
+        !P.Denied_.count(Name) && fits(Size, W.Info_.Capacity_) &&
+        (Spec.RequiredLabel_.empty() ||
+         W.Info_.Labels_.count(Spec.RequiredLabel_)) &&
+        (Spec.MaxPerWorker_ == 0 || tasksOn(W, Id) < Spec.MaxPerWorker_);
+    if (Suits && (!Best || freeRoom(W).Cpu_ > freeRoom(*Best).Cpu_))
+      Best = &W;
+  }
+  if (!Best)
+    return;
+  dropReservations(S, Id);
+  S.Reservations_.push_back(
+      {Id, Best->Info_.Id_, Best->Info_.Capacity_, Now + Longest});
+}
+
 std::vector<Candidate> candidates(State &S, const StepId &Id, TimePoint Now) {
   const workflow::StepSpec &Spec = *findSpec(S, Id);
   const Job &J = S.Jobs_.at(Id.Job_);
@@ -59,7 +111,7 @@
       continue;
     if (P.Denied_.count(WorkerName))
       continue;
-    Candidate C{&W, freeRoom(W)};
+    Candidate C{&W, freeRoom(W) - reservedByOthers(S, WorkerName, Id)};
     if (!fits(Size, C.Free_))
       continue;
     C.OnIt_ = tasksOn(W, Id);
@@ -164,6 +216,8 @@
   Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
                                              J.Queue_.Advice_->PerWorkerMs_ *
                                                  double(Call.Workers_.size())));
+  if (Spec.LongRunning_)
+    reserveNamed(S, Call, workflow::chargedSize(Spec), Now);
   P.AdviceInFlight_ = true;
   count(S.Counters_, "advice-asked");
   Out.Advice_.push_back(std::move(Call));
@@ -176,13 +230,18 @@
   if (Tasks.empty() || (Spec.Gang_ && Tasks.size() < P.Tasks_.size()))
     return;
   std::vector<Candidate> All = candidates(S, Id, Now);
-  if (All.empty())
+  if (All.empty()) {
+    if (Spec.LongRunning_)
+      reserveLargest(S, Id, Now);
     return;
+  }
   std::vector<Candidate> Left = All;
   std::vector<Placed> Where = place(Spec, P, Tasks, Left);
   bool Complete = Where.size() == Tasks.size();
-  if (!Where.empty() && (Complete || !Spec.Gang_))
+  if (!Where.empty() && (Complete || !Spec.Gang_)) {
     startTasks(S, Id, Where, Now, Out);
+    dropReservations(S, Id);
+  }
   if (!Complete)
     askForAdvice(
         S, Id, Spec.Gang_ ? All : Left,
@@ -201,6 +260,8 @@
     return;
   S.PlaceWanted_ = false;
   S.PlaceNotBefore_ = Now + PlacementInterval;
+  std::erase_if(S.Reservations_,
+                [&](const Reservation &R) { return Now > R.Until_; });
   for (const WaitingStep &W : orderWaiting(S, Now))
     placeStep(S, W.Id_, Now, Out);
 }
--- a/packages/scheduler/tests/unit-lasting.cpp
+++ b/packages/scheduler/tests/unit-lasting.cpp
@@ -102,3 +102,35 @@
   cr_assert_eq(tellTail(C, 30).at(0).Percent_, 40u);
   cr_assert(tellTail(C, 70).empty());
 }
+
+Test(lasting, a_service_task_is_not_starved_by_short_ones) {
+  // Short work fills each gap at once; the policy takes longer than a gap.
+  FleetCell C;
+  C.addPlainQueue();
+  C.addWorker("a");
+  C.addWorker("b");
+  C.Catalog_.Queues_[0].Priority_ = 0;
+  workflow::Queue Slow = C.Catalog_.Queues_[0];
+  Slow.Name_ = "slow";
+  Slow.Priority_ = 1;
+  Slow.Advice_ = workflow::AdvicePolicy{20, 1, 2'000};
+  C.addQueue(Slow);
+  C.takeOver();
+  C.FateOf_ = [](const TaskId &Id, std::uint32_t) {
+    return Fate{Milliseconds(Id.Step_.Job_ == "serve" ? 90'000 : 300)};
+  };
+  for (int I = 0; I < 60; ++I)
+    C.submit("j" + std::to_string(I), plainJob({plainStep(16)}));
+  C.run(Milliseconds(1'000));
+  workflow::StepSpec Serve = plainStep(1);
+  Serve.Size_.Cpu_ = 6'000;
+  Serve.LongRunning_ = true;
+  C.submitTo("slow", "serve", plainJob({Serve}));
+  bool Runs = C.runUntil(
+      [&] {
+        return !C.whereIs({{"serve", 0, 0}, 0}).empty();
+      },
+      Milliseconds(3'000));
+  cr_assert(Runs);
+  cr_assert(C.Broken_.empty());
+}
--- a/packages/workflow/detail/task_id.hpp
+++ b/packages/workflow/detail/task_id.hpp
@@ -4,7 +4,6 @@
 
 #include "base/base.hpp"
 
-#include <compare>
 #include <optional>
 
 namespace pollenvale::workflow {
@@ -15,7 +14,9 @@
   std::uint32_t Occurrence_ = 0; ///< 0 for a job that runs once.
   std::uint32_t Step_ = 0;
 
-  auto operator<=>(const StepId &) const = default;
+  auto key() const { return std::tie(Job_, Occurrence_, Step_); }
+  bool operator<(const StepId &O) const { return key() < O.key(); }
+  bool operator==(const StepId &O) const { return key() == O.key(); }
 };
 
 /// One task of a step.
@@ -23,7 +24,9 @@
   StepId Step_;
   std::uint32_t Index_ = 0;
 
-  auto operator<=>(const TaskId &) const = default;
+  auto key() const { return std::tie(Step_, Index_); }
+  bool operator<(const TaskId &O) const { return key() < O.key(); }
+  bool operator==(const TaskId &O) const { return key() == O.key(); }
 };
 
 /// "JOB.OCCURRENCE.STEP"
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -60,8 +60,14 @@
 }
 
 void FleetCell::submit(const JobId &Job, workflow::WorkflowSpec Spec) {
+  submitTo(Catalog_.Queues_.front().Name_, Job, std::move(Spec));
+}
+
+void FleetCell::submitTo(const std::string &Queue, const JobId &Job,
+                         workflow::WorkflowSpec Spec) {
   Specs_.emplace(Job, Spec);
-  ledger::AcceptedJob Record{Catalog_.Queues_.front(), 0, std::move(Spec)};
+  ledger::AcceptedJob Record{*workflow::findQueue(Catalog_, Queue), 0,
+                             std::move(Spec)};
   auto R = ledger::makeJob(Job, Record);
   R.Offset_ = Store_.size();
   Store_.push_back(std::move(R));
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -49,6 +49,8 @@
   /// A queue "q" of the service "s" with 3 attempts a task.
   void addPlainQueue();
   void submit(const JobId &Job, workflow::WorkflowSpec Spec);
+  void submitTo(const std::string &Queue, const JobId &Job,
+                workflow::WorkflowSpec Spec);
   void cancel(const JobId &Job);
   /// A new owner claims the slice. \p Clean: the former gave it up.
   Owner &takeOver(bool Clean = false);
