--- a/packages/scheduler/tests/unit-lasting.cpp
+++ b/packages/scheduler/tests/unit-lasting.cpp
@@ -109,7 +109,7 @@
   C.addPlainQueue();
   C.addWorker("a");
   C.addWorker("b");
-  C.Catalog_.Queues_[0].Priority_ = 0;
+  C.Catalog_.Queues_[0].SlackMs_ = 600'000;
   workflow::Queue Slow = C.Catalog_.Queues_[0];
   Slow.Name_ = "slow";
   Slow.Priority_ = 1;
@@ -117,7 +117,8 @@
   C.addQueue(Slow);
   C.takeOver();
   C.FateOf_ = [](const TaskId &Id, std::uint32_t) {
-    return Fate{Milliseconds(Id.Step_.Job_ == "serve" ? 90'000 : 300)};
+    int Short = 150 + int(Id.Index_ * 37 % 16) * 40;
+    return Fate{Milliseconds(Id.Step_.Job_ == "serve" ? 90'000 : Short)};
   };
   for (int I = 0; I < 60; ++I)
     C.submit("j" + std::to_string(I), plainJob({plainStep(16)}));
