--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -1,10 +1,11 @@
 #include "fleet/entry.hpp"
 
+#include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
 #include "fleet/follower.hpp"
+#include "fleet/policy_calls.hpp"
 #include "fleet/slice_owner.hpp"
 #include "observe/observe.hpp"
-#include "peernet/peernet.hpp"
 
 #include <asio.hpp>
 #include <csignal>
@@ -54,7 +55,6 @@
     Claims_.Options_.Self_ = makeIncarnation(Boot_.NodeName_);
     Claims_.Options_.Address_ =
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
-    Pool_ = advice::makePool(Claims_.Options_.Address_);
     Intake_.Store_ = &Client_;
     Intake_.Clock_ = now;
   }
@@ -88,12 +88,9 @@
     Callers_ = Listen(
         splitAddress(Boot_.CallerAddress_),
         [this](const http::ServerRequest &R, const http::Responder &Respond) {
-          onCaller(R, Respond);
-        });
-    Peers_ = peernet::openPeerSocket(
-        Claims_.Options_.Address_, [this](std::string Bytes) {
-          asio::post(Io_, [this, Bytes = std::move(Bytes)] { onPeer(Bytes); });
+          Service_.serve(R, Respond, copiesLoaded());
         });
+    Policy_.open(Claims_.Options_.Address_);
   }
 
   // --- following the store -------------------------------------------------
@@ -301,7 +298,7 @@
     Context.WorkersLoaded_ = &WorkersLoaded_;
     Context.Partition_ = &Intake_.Partitions_.at(Partition);
     Context.Ask_ = [this](scheduler::AdviceCall Call) {
-      advice::enqueue(Pool_, std::move(Call), now());
+      Policy_.ask(std::move(Call));
     };
     Context.Wake_ = [this] { wake(); };
     Context.MaxLease_ = Boot_.MaxLease_;
@@ -310,81 +307,6 @@
         std::move(Context), Slice, Partition, Own, Claims_.Options_.SelfFence_);
   }
 
-  // --- asking the placement policy -----------------------------------------
-
-  void tickAdvice() {
-    std::vector<std::string> Peers;
-    for (const auto &[Name, Node] : Claims_.Nodes_)
-      if (Node.Node_ != Claims_.Options_.Self_ && !Node.Address_.empty())
-        Peers.push_back(Node.Address_);
-    advice::setPeers(Pool_, Peers);
-    for (const scheduler::AdviceCall &Call : advice::expire(Pool_, now()))
-      deliverAdvice(Call, {});
-    for (const advice::Dispatch &D : advice::dispatch(Pool_, now()))
-      sendAdvice(D);
-  }
-
-  void sendAdvice(const advice::Dispatch &D) {
-    std::string Step = workflow::toString(D.Call_.Step_);
-    if (D.Helper_ == Pool_.Self_) {
-      askPolicy(Step, D.Call_.Workers_,
-                [this, Id = D.Id_](const scheduler::AdviceReply &R) {
-                  onAdvice(Id, R);
-                });
-      return;
-    }
-    advice::AskMessage M{D.Id_, Claims_.Options_.Address_, Step,
-                         D.Call_.Workers_};
-    if (!Peers_->send(D.Helper_, advice::encode(M)))
-      count(Counters_, "peer-frame-dropped");
-  }
-
-  void askPolicy(const std::string &Step, const std::vector<WorkerId> &Workers,
-                 std::function<void(scheduler::AdviceReply)> Done) {
-    constexpr Milliseconds PolicyTimeout{2'500};
-    Client_.advise(Step, Workers, PolicyTimeout, std::move(Done));
-  }
-
-  void onAdvice(CallId Id, const scheduler::AdviceReply &Reply) {
-    if (auto Call = advice::finish(Pool_, Id, Reply.Answered_, now()))
-      deliverAdvice(*Call, Reply);
-    wake();
-  }
-
-  void deliverAdvice(const scheduler::AdviceCall &Call,
-                     const scheduler::AdviceReply &Reply) {
-    for (auto &[Slice, Owner] : Owners_)
-      Owner->onAdvice(Call, Reply);
-  }
-
-  void onPeer(const std::string &Bytes) {
-    advice::Message M = advice::decode(Bytes);
-    if (auto *Ask = std::get_if<advice::AskMessage>(&M)) {
-      answerPeer(*Ask);
-    } else if (auto *Tell = std::get_if<advice::TellMessage>(&M)) {
-      scheduler::AdviceReply Reply{
-          Tell->Answered_, {}, Milliseconds(Tell->ValidityMs_)};
-      for (const advice::PermitText &Row : Tell->Rows_)
-        Reply.Rows_.push_back({Row.Worker_, Row.Permit_});
-      onAdvice(Tell->Id_, Reply);
-    } else {
-      count(Counters_, "peer-frame-unreadable");
-    }
-  }
-
-  void answerPeer(const advice::AskMessage &Ask) {
-    askPolicy(Ask.Step_, Ask.Workers_,
-              [this, Id = Ask.Id_,
-               To = Ask.ReplyTo_](const scheduler::AdviceReply &R) {
-                advice::TellMessage M{
-                    Id, R.Answered_, {}, std::uint32_t(R.Validity_.count())};
-                for (const scheduler::PermitRow &Row : R.Rows_)
-                  M.Rows_.push_back({Row.Worker_, Row.Permit_});
-                if (!Peers_->send(To, advice::encode(M)))
-                  count(Counters_, "peer-frame-dropped");
-              });
-  }
-
   // --- callers --------------------------------------------------------------
 
   void onReadiness(const http::ServerRequest &R,
@@ -416,69 +338,6 @@
     return true;
   }
 
-  void onCaller(const http::ServerRequest &R, const http::Responder &Plain) {
-    http::Responder Respond = [this, Plain](http::ServerReply Reply) {
-      count(Counters_, "answer-" + std::to_string(Reply.Code_));
-      Reply.Close_ = Stopping_;
-      LastCallerAt_ = now();
-      Plain(std::move(Reply));
-    };
-    platform::CallerRequest Call = platform::parseCaller(R);
-    if (!HasCatalog_ || !copiesLoaded())
-      return Respond(platform::errorReply(
-          makeError(ErrorKind::NoConfig, "no configuration yet")));
-    const workflow::Queue *Q =
-        workflow::findQueue(Catalog_, Call.Host_, Call.Path_);
-    if (!Q)
-      return Respond(platform::errorReply(
-          makeError(ErrorKind::UnknownPath, Call.Path_ + ": no such queue")));
-    if (R.Body_.size() > Catalog_.MaxBodyBytes_)
-      return Respond(platform::errorReply(
-          makeError(ErrorKind::BodyTooLarge,
-                    "body: " + std::to_string(R.Body_.size()) + " bytes")));
-    auto Job = platform::jobIdAfter(Call.Path_, Q->PathPrefix_);
-    serve(Call, *Q, Job, R.Body_, Respond);
-  }
-
-  void serve(const platform::CallerRequest &Call, const workflow::Queue &Q,
-             const std::optional<JobId> &Job, const std::string &Body,
-             const http::Responder &Respond) {
-    using platform::CallerVerb;
-    intake::Times T{now(), nowUnixMs(), Call.Deadline_};
-    auto Answer = [Respond](const intake::Answer &A) { Respond(toReply(A)); };
-    if (Call.Verb_ == CallerVerb::Unsupported)
-      return Respond(platform::errorReply(
-          makeError(ErrorKind::WrongMethod, "method not supported")));
-    if (!Job && Call.Verb_ == CallerVerb::State &&
-        Call.Path_.size() <= Q.PathPrefix_.size())
-      return Respond(platform::pendingReply(intake::pending(Intake_, Q)));
-    if (!Job)
-      return Respond(platform::errorReply(
-          makeError(ErrorKind::UnknownPath, Call.Path_ + ": not a job id")));
-    if (Call.Verb_ == CallerVerb::State)
-      return intake::askState(Intake_, Q, *Job, T, Answer);
-    if (Call.Verb_ == CallerVerb::Cancel)
-      return intake::cancel(Intake_, Q, *Job, T, Answer);
-    auto Spec = platform::parseWorkflow(Body);
-    if (!Spec)
-      return Respond(platform::errorReply(Spec.error()));
-    intake::submit(Intake_, Q, *Job, std::move(Spec.value()), T, Answer);
-  }
-
-  static http::ServerReply toReply(const intake::Answer &A) {
-    switch (A.Outcome_) {
-    case intake::Outcome::Stored:
-      return {200, "{}"};
-    case intake::Outcome::State:
-      return platform::stateReply(A.State_);
-    case intake::Outcome::Unknown:
-      return platform::goneReply();
-    case intake::Outcome::Rejected:
-      break;
-    }
-    return platform::errorReply(A.Error_, A.RetryAfter_);
-  }
-
   // --- event loop ------------------------------------------------------------
 
   void wake() {
@@ -495,7 +354,7 @@
     bool MayOrder = ownership::mayOrder(Claims_, now());
     for (auto &[Slice, Owner] : Owners_)
       Owner->turn(MayOrder);
-    tickAdvice();
+    Policy_.turn(Claims_);
   }
 
   void scheduleTick() {
@@ -543,7 +402,7 @@
       return;
     Stopping_ = true;
     StoppingSince_ = now();
-    LastCallerAt_ = now();
+    Service_.Closing_ = true;
     Claims_.Stopping_ = true;
     observe::log(Level::Info, "stopping", {{"slices", Owners_.size()}});
     tickClaims();
@@ -570,27 +429,32 @@
   platform::Client Client_;
   std::unique_ptr<http::Server> Ready_;
   std::unique_ptr<http::Server> Callers_;
-  std::unique_ptr<peernet::PeerSocket> Peers_;
 
+  Counters Counters_;
   workflow::Catalog Catalog_;
   bool HasCatalog_ = false;
   ledger::Tail ConfigTail_, ClaimTail_, WorkerTail_;
   std::shared_ptr<Follower> Config_, ClaimFollower_, WorkerFollower_;
   std::map<std::uint32_t, std::shared_ptr<Follower>> Partitions_;
   intake::Intake Intake_;
+  PolicyCalls Policy_{Io_, Client_, Counters_,
+                      [this](const scheduler::AdviceCall &Call,
+                             const scheduler::AdviceReply &Reply) {
+                        for (auto &[Slice, Owner] : Owners_)
+                          Owner->onAdvice(Call, Reply);
+                        wake();
+                      }};
+  CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
   std::map<WorkerId, scheduler::WorkerInfo> Workers_;
   bool WorkersLoaded_ = false;
 
   ownership::State Claims_;
   std::map<ownership::SliceName, std::shared_ptr<SliceOwner>> Owners_;
   std::map<ownership::SliceName, ownership::ClaimNumber> OwnerClaims_;
-  advice::Pool Pool_;
 
-  Counters Counters_;
   bool TurnPosted_ = false;
   bool Stopping_ = false;
   TimePoint StoppingSince_{};
-  TimePoint LastCallerAt_{};
 };
 
 } // namespace
--- /dev/null
+++ b/apps/pollenvale/fleet/policy_calls.cpp
@@ -0,0 +1,86 @@
+#include "fleet/policy_calls.hpp"
+
+#include "fleet/clock.hpp"
+
+#include <asio/post.hpp>
+
+namespace pollenvale::fleet {
+
+void PolicyCalls::open(const std::string &Address) {
+  Pool_ = advice::makePool(Address);
+  Peers_ = peernet::openPeerSocket(Address, [this](std::string Bytes) {
+    asio::post(Io_, [this, Bytes = std::move(Bytes)] { onPeer(Bytes); });
+  });
+}
+
+void PolicyCalls::ask(scheduler::AdviceCall Call) {
+  advice::enqueue(Pool_, std::move(Call), now());
+}
+
+void PolicyCalls::turn(const ownership::State &Claims) {
+  std::vector<std::string> Peers;
+  for (const auto &[Name, Node] : Claims.Nodes_)
+    if (Node.Address_ != Pool_.Self_ && !Node.Address_.empty())
+      Peers.push_back(Node.Address_);
+  advice::setPeers(Pool_, Peers);
+  for (const scheduler::AdviceCall &Call : advice::expire(Pool_, now()))
+    Deliver_(Call, {});
+  for (const advice::Dispatch &D : advice::dispatch(Pool_, now()))
+    send(D);
+}
+
+void PolicyCalls::send(const advice::Dispatch &D) {
+  std::string Step = workflow::toString(D.Call_.Step_);
+  if (D.Helper_ == Pool_.Self_) {
+    askPolicy(Step, D.Call_.Workers_,
+              [this, Id = D.Id_](const scheduler::AdviceReply &R) {
+                onReply(Id, R);
+              });
+    return;
+  }
+  advice::AskMessage M{D.Id_, Pool_.Self_, Step, D.Call_.Workers_};
+  if (!Peers_->send(D.Helper_, advice::encode(M)))
+    count(Counters_, "peer-frame-dropped");
+}
+
+void PolicyCalls::askPolicy(const std::string &Step,
+                            const std::vector<WorkerId> &Workers,
+                            std::function<void(scheduler::AdviceReply)> Done) {
+  constexpr Milliseconds PolicyTimeout{2'500};
+  Client_.advise(Step, Workers, PolicyTimeout, std::move(Done));
+}
+
+void PolicyCalls::onReply(CallId Id, const scheduler::AdviceReply &Reply) {
+  if (auto Call = advice::finish(Pool_, Id, Reply.Answered_, now()))
+    Deliver_(*Call, Reply);
+}
+
+void PolicyCalls::onPeer(const std::string &Bytes) {
+  advice::Message M = advice::decode(Bytes);
+  if (auto *Ask = std::get_if<advice::AskMessage>(&M)) {
+    answerPeer(*Ask);
+  } else if (auto *Tell = std::get_if<advice::TellMessage>(&M)) {
+    scheduler::AdviceReply Reply{
+        Tell->Answered_, {}, Milliseconds(Tell->ValidityMs_)};
+    for (const advice::PermitText &Row : Tell->Rows_)
+      Reply.Rows_.push_back({Row.Worker_, Row.Permit_});
+    onReply(Tell->Id_, Reply);
+  } else {
+    count(Counters_, "peer-frame-unreadable");
+  }
+}
+
+void PolicyCalls::answerPeer(const advice::AskMessage &Ask) {
+  askPolicy(
+      Ask.Step_, Ask.Workers_,
+      [this, Id = Ask.Id_, To = Ask.ReplyTo_](const scheduler::AdviceReply &R) {
+        advice::TellMessage M{
+            Id, R.Answered_, {}, std::uint32_t(R.Validity_.count())};
+        for (const scheduler::PermitRow &Row : R.Rows_)
+          M.Rows_.push_back({Row.Worker_, Row.Permit_});
+        if (!Peers_->send(To, advice::encode(M)))
+          count(Counters_, "peer-frame-dropped");
+      });
+}
+
+} // namespace pollenvale::fleet
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -205,14 +205,13 @@
   W.FailedJobs_.clear();
 }
 
-void planNextHold(State &S, Worker &W, TimePoint Now) {
+void planNextHold(Worker &W, TimePoint Now) {
   if (W.SeenEnd_ > W.StoredEnd_)
     W.HoldDueAt_ = Now + StoreWait;
   else if (!W.Tasks_.empty())
     W.HoldDueAt_ = Now + HoldSpacing;
   else
     W.HoldDueAt_ = Now + IdleHoldInterval;
-  (void)S;
 }
 
 } // namespace
@@ -291,7 +290,7 @@
                            {"running", Reply.Running_.size()},
                            {"ended", Reply.Ended_.size()}}});
   }
-  detail::planNextHold(S, W, Now);
+  detail::planNextHold(W, Now);
   // The lease begins with the first answer that tells the worker's clock.
   if (!Call.LeaseUntil_)
     W.HoldDueAt_ = Now;
