--- a/tools/tidy.sh
+++ b/tools/tidy.sh
@@ -7,6 +7,6 @@
 mkdir -p "$build/tidy"
 sed -E 's/-Winvalid-pch//; s/-include [^ ]*cmake_pch.hxx//' \
   "$build/compile_commands.json" >"$build/tidy/compile_commands.json"
-git ls-files 'packages/*.cpp' 'apps/*.cpp' 'tests/*.cpp' |
+git ls-files 'packages/*.cpp' 'apps/*.cpp' 'tests/*.cpp' 'platform/*.cpp' |
   xargs -P 6 -n 4 clang-tidy -p "$build/tidy" --quiet 2>/dev/null
 echo "tidy: clean"
