Closed jobs are removed; what can't be read is counted

Closed jobs stayed in the keyed topic for ever (400 MB is the store's limit), and unreadable records and rows were left out unseen.

Change: 60 s after status_s an owner removes a closed job's keys; counters for unreadable records, claims and rows. Unused parts of the harness are gone.

Test: a_job_closed_long_ago_is_removed (failed before: the job stayed).

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds ClaimWait{700};
 constexpr Milliseconds ConfigWait{1'000};
 constexpr Milliseconds WorkerSpacing{250};
+/// Closed jobs stay known for this much longer than callers may ask.
+constexpr Milliseconds ClosedJobsMargin{60'000};
 /// Time that a stopping entry keeps answering while the balancer notices.
 constexpr Milliseconds StopLinger{3'500};
 
@@ -302,6 +304,7 @@
     };
     Context.Wake_ = [this] { wake(); };
     Context.MaxLease_ = Boot_.MaxLease_;
+    Context.KeepClosed_ = Boot_.ClosedJobsKept_ + ClosedJobsMargin;
     OwnerClaims_[Slice] = Own.Number_;
     Owners_[Slice] = std::make_shared<SliceOwner>(
         std::move(Context), Slice, Partition, Own, Claims_.Options_.SelfFence_);
@@ -328,6 +331,9 @@
     for (const auto &[Slice, Owner] : Owners_)
       for (const auto &[Name, Value] : Owner->counters())
         All[Name] += Value;
+    for (const auto &[Number, Copy] : Intake_.Partitions_)
+      All["record-unreadable"] += Copy.Replica_.Unreadable_;
+    All["record-unreadable"] += Claims_.Unreadable_;
     return observe::expose(All);
   }
 
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -72,6 +72,7 @@
   O.ClaimedAt_ = Claim_.ClaimedAt_;
   O.Lease_ = Lease;
   O.MaxLease_ = Context_.MaxLease_;
+  O.KeepClosed_ = Context_.KeepClosed_;
   // Until then an owner cut off from the store may have given leases.
   Milliseconds Longest = Lease + LeaseMargin;
   if (!Claim_.Clean_)
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -20,6 +20,7 @@
   std::function<void(scheduler::AdviceCall)> Ask_;
   std::function<void()> Wake_; ///< Asks for a turn of the event loop.
   Milliseconds MaxLease_{10'000};
+  Milliseconds KeepClosed_{180'000};
 };
 
 class SliceOwner : public std::enable_shared_from_this<SliceOwner> {
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -64,6 +64,7 @@
   TimePoint BeatSentAt_{};
   bool BeatInFlight_ = false;
   bool Stopping_ = false;
+  std::uint64_t Unreadable_ = 0; ///< Records that could not be read.
 };
 
 /// A write that the driver shall make to the claims topic.
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -98,11 +98,15 @@
 void onRecord(State &S, const ledger::KeyedRecord &R, TimePoint Now) {
   std::string Name = R.Key_.empty() ? "" : nameOf(R.Key_);
   if (kindOf(R.Key_) == RecordKind::Claim) {
-    if (auto Claim = parseClaim(R.Value_))
+    auto Claim = parseClaim(R.Value_);
+    if (Claim)
       onClaim(S, Name, *Claim, R.Offset_, Now);
+    S.Unreadable_ += !Claim;
   } else if (kindOf(R.Key_) == RecordKind::Node) {
-    if (auto Node = parseNode(R.Value_))
+    auto Node = parseNode(R.Value_);
+    if (Node)
       S.Nodes_[Name] = NodeView{Node->Address_, Node->Node_, Now};
+    S.Unreadable_ += !Node;
   }
 }
 
--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -135,6 +135,7 @@
   std::int64_t BornUnixMs_ = 0;
   std::vector<RunningTask> Running_;
   std::vector<EndedTask> Ended_;
+  std::size_t Unreadable_ = 0; ///< Rows of the lists left out.
 };
 
 struct OrderReply {
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -118,6 +118,7 @@
   Milliseconds Lease_{5'000};
   Milliseconds MaxLease_{10'000}; ///< The workers cut longer ones down.
   Milliseconds StartDeadline_{2'500};
+  Milliseconds KeepClosed_{180'000}; ///< How long closed jobs stay known.
 };
 
 /// Ends that become acknowledgeable once a write is stored.
@@ -132,6 +133,7 @@
   std::vector<PendingAck> Acks_;
   std::vector<WorkerId> Roster_;
   bool HasRoster_ = false;
+  std::vector<JobId> Removed_;
 };
 
 /// Room of a worker that is kept for one step until a time.
@@ -153,7 +155,9 @@
   std::set<JobId> Dirty_;
   std::set<TaskId> Unsettled_; ///< Runs with a start or stop to send.
   std::vector<JobId> Closed_;  ///< Closed since the last tick.
-  std::set<JobId> Scheduled_;  ///< Jobs with occurrences still to come.
+  std::set<JobId> Expired_;    ///< Closed long ago; to be removed.
+  TimePoint ExpiryDueAt_{};
+  std::set<JobId> Scheduled_; ///< Jobs with occurrences still to come.
   std::optional<PendingWrite> Writing_;
   TimePoint WriteNotBefore_{};
   std::uint64_t NextWrite_ = 1;
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -265,6 +265,8 @@
     detail::onMiss(S, W, Now);
     return;
   }
+  if (Reply.Unreadable_ > 0)
+    count(S.Counters_, "row-unreadable", Reply.Unreadable_);
   W.Misses_ = 0;
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -31,6 +31,36 @@
   return Out;
 }
 
+bool hasRuns(const Job &J) {
+  for (const auto &[Number, O] : J.Open_)
+    for (const Step &P : O.Steps_)
+      if (P.RunCount_ > 0)
+        return true;
+  return false;
+}
+
+/// Closed jobs that callers need not be told about any longer.
+void findExpired(State &S, TimePoint Now) {
+  constexpr Milliseconds Interval{5'000};
+  if (Now < S.ExpiryDueAt_)
+    return;
+  S.ExpiryDueAt_ = Now + Interval;
+  for (const auto &[Id, J] : S.Jobs_)
+    if (workflow::isClosed(J.State_) && !J.Dirty_ && !hasRuns(J) &&
+        Now - J.ClosedAt_ > S.Options_.KeepClosed_)
+      S.Expired_.insert(Id);
+}
+
+void addRemovals(State &S, PendingWrite &Pending, WriteCall &Call) {
+  while (!S.Expired_.empty() && Call.Records_.size() < MaxRecordsPerWrite) {
+    JobId Id = *S.Expired_.begin();
+    S.Expired_.erase(S.Expired_.begin());
+    for (ledger::KeyedRecord &R : ledger::makeRemoval(Id))
+      Call.Records_.push_back(std::move(R));
+    Pending.Removed_.push_back(Id);
+  }
+}
+
 ledger::KeyedRecord rosterRecord(const State &S) {
   std::set<WorkerId> All = S.Unaccounted_;
   for (const auto &[Id, W] : S.Workers_)
@@ -59,6 +89,8 @@
     J.Dirty_ = false;
     Call.Records_.push_back(ledger::makeProgress(Id, makeProgress(J)));
   }
+  findExpired(S, Now);
+  addRemovals(S, Pending, Call);
   // Ends count as stored once everything that they changed is.
   if (S.AcksDirty_ && S.Dirty_.empty()) {
     S.AcksDirty_ = false;
@@ -94,6 +126,8 @@
     return;
   }
   S.WriteNotBefore_ = Now + detail::WriteInterval;
+  for (const JobId &Job : Pending.Removed_)
+    S.Jobs_.erase(Job);
   for (const WorkerId &W : Pending.Roster_) {
     auto It = S.Workers_.find(W);
     if (It == S.Workers_.end() || It->second.Rostered_)
--- a/packages/scheduler/tests/unit-lasting.cpp
+++ b/packages/scheduler/tests/unit-lasting.cpp
@@ -47,12 +47,6 @@
 
 namespace {
 
-struct Beside {
-  scheduler::State State_;
-  scheduler::HoldCall Call_;
-  scheduler::HoldReply Reply_;
-};
-
 /// A service task with a target of 100 ms beside a filler on one worker.
 std::vector<scheduler::PaceCall> tellTail(FleetCell &C, double TailMs) {
   scheduler::HoldReply Reply;
--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -92,3 +92,15 @@
   for (const std::string &Start : C.Starts_)
     cr_assert(!Start.ends_with("@a"));
 }
+
+Test(steps, a_job_closed_long_ago_is_removed) {
+  FleetCell C = makeCell();
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(2)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  C.run(Milliseconds(170'000));
+  cr_assert_eq(C.state("j1"), JobState::Completed);
+  C.run(Milliseconds(20'000));
+  cr_assert_eq(C.jobs(), 0u);
+  cr_assert(C.owner().State_.Jobs_.empty());
+}
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -463,6 +463,13 @@
                                 : ledger::shownState(It->second);
 }
 
+std::size_t FleetCell::jobs() const {
+  ledger::Replica Copy;
+  for (const ledger::KeyedRecord &R : Store_)
+    ledger::apply(Copy, R);
+  return Copy.Jobs_.size();
+}
+
 bool FleetCell::allClosed() const {
   ledger::Replica Copy;
   for (const ledger::KeyedRecord &R : Store_)
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -32,12 +32,6 @@
   double LostAppend_ = 0; ///< Stored; the answer is lost.
 };
 
-/// What was promised of one task and what came of it.
-struct TaskStory {
-  bool DoneStored_ = false; ///< Its end is stored and acknowledged.
-  unsigned FailedStored_ = 0;
-};
-
 class FleetCell {
 public:
   explicit FleetCell(std::uint64_t Seed = 1) : Random_{Seed} {}
@@ -67,6 +61,8 @@
 
   workflow::JobState state(const JobId &Job) const;
   bool allClosed() const;
+  /// Jobs that the store knows.
+  std::size_t jobs() const;
   Owner &owner() { return *Owners_.back(); }
   FakeWorker &worker(const WorkerId &Id) { return Workers_.at(Id); }
   /// Workers on which a run of the task is at work.
@@ -126,7 +122,6 @@
   std::uint64_t NextOrder_ = 0;
   std::map<JobId, workflow::WorkflowSpec> Specs_;
   std::map<JobId, TimePoint> CancelledAt_;
-  std::map<TaskId, TaskStory> Stories_;
   std::uint64_t Born_ = 1;
 };
 
