--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -6,10 +6,10 @@
 #include "fleet/policy_calls.hpp"
 #include "fleet/slice_owner.hpp"
 #include "observe/observe.hpp"
+#include "process.hpp"
 
 #include <asio.hpp>
 #include <csignal>
-#include <random>
 
 namespace pollenvale::fleet {
 
@@ -31,24 +31,6 @@
 /// Time that a stopping entry keeps answering while the balancer notices.
 constexpr Milliseconds StopLinger{3'500};
 
-struct Address {
-  std::string Host_;
-  std::uint16_t Port_ = 0;
-};
-
-Address splitAddress(const std::string &Text) {
-  std::size_t Colon = Text.rfind(':');
-  return {Text.substr(0, Colon),
-          std::uint16_t(std::stoul(Text.substr(Colon + 1)))};
-}
-
-NodeId makeIncarnation(const std::string &Name) {
-  std::random_device Device;
-  char Text[17];
-  std::snprintf(Text, sizeof Text, "%08x", unsigned(Device()));
-  return Name + "." + Text;
-}
-
 class Entry {
 public:
   explicit Entry(platform::Boot B)
@@ -79,7 +61,7 @@
 
 private:
   void openSockets() {
-    auto Listen = [this](const Address &A, http::Handler Handle) {
+    auto Listen = [this](const HostAndPort &A, http::Handler Handle) {
       return http::startServer(Io_, {A.Host_, A.Port_, 1}, std::move(Handle));
     };
     Ready_ = Listen(
--- a/apps/pollenvale/runtime.cpp
+++ b/apps/pollenvale/runtime.cpp
@@ -3,6 +3,7 @@
 #include "http/http.hpp"
 #include "observe/observe.hpp"
 #include "peernet/peernet.hpp"
+#include "process.hpp"
 #include "standin_wire/standin_wire.hpp"
 
 #include <asio.hpp>
@@ -31,19 +32,6 @@
 using observe::Level;
 using peering::Outbox;
 
-NodeId makeIncarnation(const std::string &Name) {
-  std::random_device Device;
-  char Text[17];
-  std::snprintf(Text, sizeof Text, "%08x", unsigned(Device()));
-  return Name + "." + Text;
-}
-
-std::pair<std::string, std::uint16_t> splitAddress(const std::string &Text) {
-  std::size_t Colon = Text.rfind(':');
-  return {Text.substr(0, Colon),
-          std::uint16_t(std::stoul(Text.substr(Colon + 1)))};
-}
-
 /// The control thread's loop. Everything but post() runs on that thread.
 class Runtime {
 public:
--- /dev/null
+++ b/tests/fleet/fleet_checks.cpp
@@ -0,0 +1,119 @@
+/// What must always hold in a FleetCell.
+#include "fleet/fleet_cell.hpp"
+
+namespace pollenvale::fleettest {
+
+namespace {
+
+/// A cancelled job starts nothing later than this.
+constexpr Milliseconds CancelBound{3'000};
+
+} // namespace
+
+void FleetCell::note(const std::string &What) {
+  Trace_.push_back(std::to_string(elapsed(TimePoint{}, Now_).count()) + " " +
+                   What);
+}
+
+void FleetCell::broken(const std::string &What) {
+  Broken_.push_back(std::to_string(elapsed(TimePoint{}, Now_).count()) + " " +
+                    What);
+}
+
+/// An entry that the store has not answered since cannot know of a change.
+TimePoint FleetCell::contactOf(Token T) const {
+  for (const auto &O : Owners_)
+    if (O->Token_ == T)
+      return O->StoreContactAt_;
+  return {};
+}
+
+void FleetCell::checkStart(const scheduler::StartCall &C) {
+  std::string Name = workflow::toString(C.Task_) + "#" +
+                     std::to_string(C.Run_) + "@" + C.To_.Worker_;
+  Starts_.push_back(Name);
+  note("start " + Name + " token " + std::to_string(C.To_.Token_));
+  if (whereIs(C.Task_).size() > 1)
+    broken("twice at once " + Name);
+  ledger::Replica Now;
+  for (const ledger::KeyedRecord &R : Store_)
+    ledger::apply(Now, R);
+  const ledger::JobRow &Row = Now.Jobs_.at(C.Task_.Step_.Job_);
+  auto Cancelled = CancelledAt_.find(C.Task_.Step_.Job_);
+  if (Cancelled != CancelledAt_.end() &&
+      Now_ - Cancelled->second > CancelBound &&
+      contactOf(C.To_.Token_) > Cancelled->second)
+    broken("started after cancel " + Name);
+  for (const auto &O : Row.Progress_.Open_) {
+    if (O.Number_ != C.Task_.Step_.Occurrence_ ||
+        C.Task_.Step_.Step_ >= O.Steps_.size())
+      continue;
+    const workflow::StepProgress &P = O.Steps_[C.Task_.Step_.Step_];
+    if (P.Done_[C.Task_.Index_])
+      broken("started after done " + Name);
+    for (const workflow::TaskFailures &F : P.Failures_)
+      if (F.Index_ == C.Task_.Index_ &&
+          F.Runs_.size() >= Row.Accepted_.Queue_.MaxAttempts_)
+        broken("started after its attempts " + Name);
+  }
+}
+
+namespace {
+
+struct GangMember {
+  FakeWorker *Worker_ = nullptr;
+  TaskId Task_;
+};
+
+/// Members of one run of a gang.
+struct GangRun {
+  std::vector<GangMember> Members_;
+  bool Working_ = false;
+};
+
+} // namespace
+
+void FleetCell::joinGangs() {
+  std::map<std::pair<workflow::StepId, std::uint32_t>, GangRun> Gangs;
+  for (auto &[Name, W] : Workers_)
+    for (auto &[Id, R] : W.Runs_)
+      if (R.Gang_ && W.Alive_) {
+        GangRun &G = Gangs[{Id.Step_, R.Number_}];
+        G.Members_.push_back({&W, Id});
+        G.Working_ = G.Working_ || R.WorksSince_;
+      }
+  for (auto &[Key, G] : Gangs) {
+    const auto &[Step, Number] = Key;
+    bool All =
+        G.Members_.size() == Specs_.at(Step.Job_).Steps_[Step.Step_].Count_;
+    Fate F = All && !G.Working_ ? FateOf_({Step, 0}, Number) : Fate{};
+    for (auto &[W, Id] : G.Members_) {
+      FakeRun &R = W->Runs_.at(Id);
+      if (All && !R.WorksSince_) {
+        R.WorksSince_ = Now_;
+        R.Fate_ = F;
+      } else if (!All && G.Working_) {
+        end(*W, Id, EndKind::Broken);
+      }
+    }
+  }
+}
+
+void FleetCell::checkWorkers() {
+  for (auto &[Id, W] : Workers_)
+    if (W.Alive_)
+      advance(W, Now_);
+  joinGangs();
+  for (auto &[Id, W] : Workers_) {
+    if (!W.Alive_)
+      continue;
+    advance(W, Now_);
+    Resources Used;
+    for (const auto &[Task, R] : W.Runs_)
+      Used += R.Size_;
+    if (!fits(Used, W.Info_.Capacity_))
+      broken("over capacity " + Id);
+  }
+}
+
+} // namespace pollenvale::fleettest
