--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -5,6 +5,7 @@
 #include "fleet/follower.hpp"
 #include "fleet/policy_calls.hpp"
 #include "fleet/slice_owner.hpp"
+#include "fleet/worker_registry.hpp"
 #include "observe/observe.hpp"
 #include "process.hpp"
 
@@ -19,13 +20,15 @@
 
 constexpr char ClaimTopic[] = "keyed.claims";
 constexpr Milliseconds TickInterval{25};
+/// A lost opening packet is sent again after a second; a new connection comes
+/// sooner.
+constexpr Milliseconds ConnectTimeout{400};
 /// Copies of entries that own nothing are read in steps of this length.
 constexpr Milliseconds CopySpacing{120};
 constexpr Milliseconds CopyWait{1'000};
 constexpr Milliseconds OwnerSpacing{12};
 constexpr Milliseconds ClaimWait{700};
 constexpr Milliseconds ConfigWait{1'000};
-constexpr Milliseconds WorkerSpacing{250};
 /// Closed jobs stay known for this much longer than callers may ask.
 constexpr Milliseconds ClosedJobsMargin{60'000};
 /// Time that a stopping entry keeps answering while the balancer notices.
@@ -35,7 +38,7 @@
 public:
   explicit Entry(platform::Boot B)
       : Boot_(std::move(B)), Timer_(Io_), Signals_(Io_, SIGTERM, SIGHUP),
-        Http_(http::makeClient(Io_)), Client_(Boot_, *Http_) {
+        Http_(http::makeClient(Io_)), Client_(Boot_, *Http_, ConnectTimeout) {
     Claims_.Options_.Self_ = makeIncarnation(Boot_.NodeName_);
     Claims_.Options_.Address_ =
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
@@ -95,15 +98,16 @@
   }
 
   void followClaims() {
-    ClaimFollower_ = follow(ClaimTail_, {{ClaimTopic, 0}, ClaimWait, {}},
-                            {[this](const ledger::KeyedRecord &R) {
-                               ownership::onRecord(Claims_, R, now());
-                             },
-                             {},
-                             [this] {
-                               ownership::onContact(Claims_, now());
-                               wake();
-                             }});
+    ClaimFollower_ =
+        follow(ClaimTail_, {{ClaimTopic, 0}, ClaimWait, {}},
+               {[this](const ledger::KeyedRecord &R) {
+                  ownership::onRecord(Claims_, R, now());
+                },
+                {},
+                [this] {
+                  ownership::onContact(Claims_, ClaimTail_.CurrentAt_, now());
+                  wake();
+                }});
   }
 
   void followPartition(std::uint32_t Number) {
@@ -122,18 +126,6 @@
          }});
   }
 
-  void followWorkers() {
-    if (WorkerFollower_)
-      return;
-    WorkerTail_ = {};
-    WorkersLoaded_ = false;
-    WorkerFollower_ = follow(
-        WorkerTail_, {{platform::WorkerTopic, 0}, CopyWait, WorkerSpacing},
-        {[this](const ledger::KeyedRecord &R) { onWorkerRecord(R); },
-         [this](const std::set<std::string> &Keys) { onWorkersLoaded(Keys); },
-         [this] { wake(); }});
-  }
-
   void onOperator(const ledger::KeyedRecord &R) {
     if (R.Key_ != platform::ConfigKey || R.Value_.empty())
       return;
@@ -168,35 +160,6 @@
         Owner->onRecord(Change);
   }
 
-  void onWorkerRecord(const ledger::KeyedRecord &R) {
-    auto Info = R.Value_.empty() ? std::nullopt
-                                 : platform::parseWorker(R.Key_, R.Value_);
-    if (!Info) {
-      if (!R.Value_.empty())
-        count(Counters_, "worker-unreadable");
-      Workers_.erase(R.Key_);
-      for (auto &[Slice, Owner] : Owners_)
-        Owner->onWorkerGone(R.Key_);
-      return;
-    }
-    Workers_[R.Key_] = *Info;
-    for (auto &[Slice, Owner] : Owners_)
-      Owner->onWorker(*Info);
-  }
-
-  void onWorkersLoaded(const std::set<std::string> &Keys) {
-    WorkersLoaded_ = true;
-    std::vector<WorkerId> Gone;
-    for (const auto &[Id, Info] : Workers_)
-      if (!Keys.count(Id))
-        Gone.push_back(Id);
-    for (const WorkerId &Id : Gone) {
-      Workers_.erase(Id);
-      for (auto &[Slice, Owner] : Owners_)
-        Owner->onWorkerGone(Id);
-    }
-  }
-
   // --- owning slices -------------------------------------------------------
 
   std::set<ownership::SliceName> wantedSlices() const {
@@ -251,11 +214,8 @@
     for (auto &[Number, Copy] : Intake_.Partitions_)
       Copy.Tail_.Options_.Spacing_ =
           ownsPartition(Number) ? OwnerSpacing : CopySpacing;
-    if (Owners_.empty() && WorkerFollower_) {
-      WorkerFollower_->stop();
-      WorkerFollower_.reset();
-      Workers_.clear();
-    }
+    if (Owners_.empty())
+      Registry_.leave();
   }
 
   bool ownsPartition(std::uint32_t Number) const {
@@ -272,14 +232,13 @@
                   {"claim", Own.Number_},
                   {"generation", Own.Generation_},
                   {"clean", Own.Clean_}});
-    followWorkers();
+    Registry_.follow();
     std::uint32_t Partition = intake::partitionOf(Slice);
     followPartition(Partition);
     SliceContext Context;
     Context.Client_ = &Client_;
     Context.Catalog_ = &Catalog_;
-    Context.Workers_ = &Workers_;
-    Context.WorkersLoaded_ = &WorkersLoaded_;
+    Context.Registry_ = &Registry_;
     Context.Partition_ = &Intake_.Partitions_.at(Partition);
     Context.Ask_ = [this](scheduler::AdviceCall Call) {
       Policy_.ask(std::move(Call));
@@ -352,9 +311,9 @@
         return;
       tickClaims();
       intake::tick(Intake_, now());
-      for (auto &F : {Config_, ClaimFollower_, WorkerFollower_})
-        if (F)
-          F->poll();
+      for (auto &F : {Config_, ClaimFollower_})
+        F->poll();
+      Registry_.poll();
       for (auto &[Number, F] : Partitions_)
         F->poll();
       turn();
@@ -421,8 +380,8 @@
   Counters Counters_;
   workflow::Catalog Catalog_;
   bool HasCatalog_ = false;
-  ledger::Tail ConfigTail_, ClaimTail_, WorkerTail_;
-  std::shared_ptr<Follower> Config_, ClaimFollower_, WorkerFollower_;
+  ledger::Tail ConfigTail_, ClaimTail_;
+  std::shared_ptr<Follower> Config_, ClaimFollower_;
   std::map<std::uint32_t, std::shared_ptr<Follower>> Partitions_;
   intake::Intake Intake_;
   PolicyCalls Policy_{Io_, Client_, Counters_,
@@ -433,8 +392,17 @@
                         wake();
                       }};
   CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
-  std::map<WorkerId, scheduler::WorkerInfo> Workers_;
-  bool WorkersLoaded_ = false;
+  WorkerRegistry Registry_{Client_,
+                           Counters_,
+                           {[this](const scheduler::WorkerInfo &Info) {
+                              for (auto &[Slice, Owner] : Owners_)
+                                Owner->onWorker(Info);
+                            },
+                            [this](const WorkerId &Id) {
+                              for (auto &[Slice, Owner] : Owners_)
+                                Owner->onWorkerGone(Id);
+                            },
+                            [this] { wake(); }}};
 
   ownership::State Claims_;
   std::map<ownership::SliceName, std::shared_ptr<SliceOwner>> Owners_;
--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -15,7 +15,7 @@
   ledger::onSent(Tail_, now());
   auto Self = shared_from_this();
   if (Step == TailStep::Newest) {
-    Store_.newest(Tail_.Options_.From_, Tail_.PageAfter_,
+    Store_.newest({Tail_.Options_.From_, Tail_.PageAfter_},
                   [Self](const ledger::NewestReply &R) { Self->onNewest(R); });
     return;
   }
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -79,7 +79,7 @@
     Longest += SelfFence_;
   O.InheritedLeasesEndAt_ = Claim_.ClaimedAt_ + Longest;
   State_ = scheduler::makeState(std::move(O), *Context_.Catalog_, Copy.Roster_);
-  for (const auto &[Id, Info] : *Context_.Workers_)
+  for (const auto &[Id, Info] : Context_.Registry_->workers())
     if (Info.Service_ == Slice_)
       scheduler::onWorker(State_, Info, now());
   std::size_t Jobs = 0;
@@ -105,7 +105,7 @@
     sendFence();
   if (Stage_ == Stage::CatchingUp && Context_.Partition_->Tail_.Loaded_ &&
       Context_.Partition_->Tail_.Next_ > FenceOffset_ &&
-      *Context_.WorkersLoaded_)
+      Context_.Registry_->isLoaded())
     begin();
   if (Stage_ != Stage::Running || !MayOrder)
     return;
@@ -175,14 +175,14 @@
 }
 
 void SliceOwner::perform(scheduler::Outbox &Out) {
-  for (scheduler::StopCall &Call : Out.Stops_)
-    send(std::move(Call));
-  for (scheduler::StartCall &Call : Out.Starts_)
-    send(std::move(Call));
-  for (scheduler::PaceCall &Call : Out.Paces_)
-    send(std::move(Call));
-  for (scheduler::HoldCall &Call : Out.Holds_)
-    send(std::move(Call));
+  for (const scheduler::StopCall &Call : Out.Stops_)
+    send(Call);
+  for (const scheduler::StartCall &Call : Out.Starts_)
+    send(Call);
+  for (const scheduler::ThrottleCall &Call : Out.Throttles_)
+    send(Call);
+  for (const scheduler::RenewCall &Call : Out.Renewals_)
+    send(Call);
   for (scheduler::AdviceCall &Call : Out.Advice_)
     Context_.Ask_(std::move(Call));
   for (scheduler::WriteCall &Call : Out.Writes_)
@@ -191,47 +191,45 @@
     observe::log(Level::Info, N.Event_, N.Fields_);
 }
 
-void SliceOwner::send(scheduler::HoldCall Call) {
-  TimePoint SentAt = now();
-  Context_.Client_->hold(Call, [Self = shared_from_this(), Call,
-                                SentAt](const scheduler::HoldReply &R) {
+template <class Reply, class Handle>
+std::function<void(Reply)> SliceOwner::whileRunning(Handle H) {
+  return [Self = shared_from_this(), H](const Reply &R) {
     if (Self->Stage_ != Stage::Running)
       return;
     scheduler::Outbox Out;
-    scheduler::onHold(Self->State_, Call, R, SentAt, now(), Out);
+    H(Self->State_, R, Out);
     Self->perform(Out);
     Self->Context_.Wake_();
-  });
+  };
 }
 
-void SliceOwner::send(scheduler::StartCall Call) {
-  Context_.Client_->start(
-      Call, [Self = shared_from_this(), Call](const scheduler::OrderReply &R) {
-        if (Self->Stage_ != Stage::Running)
-          return;
-        scheduler::Outbox Out;
-        scheduler::onStart(Self->State_, Call, R, now(), Out);
-        Self->perform(Out);
-        Self->Context_.Wake_();
-      });
+void SliceOwner::send(const scheduler::RenewCall &C) {
+  Context_.Client_->renew(
+      C, whileRunning<scheduler::RenewReply>(
+             [C, SentAt = now()](auto &S, const auto &R, auto &Out) {
+               scheduler::onRenewed(S, C, R, SentAt, now(), Out);
+             }));
 }
 
-void SliceOwner::send(scheduler::StopCall Call) {
-  Context_.Client_->stop(
-      Call, [Self = shared_from_this(), Call](const scheduler::OrderReply &R) {
-        if (Self->Stage_ != Stage::Running)
-          return;
-        scheduler::onStop(Self->State_, Call, R, now());
-        Self->Context_.Wake_();
-      });
+void SliceOwner::send(const scheduler::StartCall &C) {
+  Context_.Client_->start(C, whileRunning<scheduler::OrderReply>(
+                                 [C](auto &S, const auto &R, auto &Out) {
+                                   scheduler::onStart(S, C, R, now(), Out);
+                                 }));
 }
 
-void SliceOwner::send(scheduler::PaceCall Call) {
-  Context_.Client_->pace(
-      Call, [Self = shared_from_this(), Call](const scheduler::OrderReply &R) {
-        if (Self->Stage_ == Stage::Running)
-          scheduler::onPace(Self->State_, Call, R);
-      });
+void SliceOwner::send(const scheduler::StopCall &C) {
+  Context_.Client_->stop(C, whileRunning<scheduler::OrderReply>(
+                                [C](auto &S, const auto &R, auto &) {
+                                  scheduler::onStop(S, C, R, now());
+                                }));
+}
+
+void SliceOwner::send(const scheduler::ThrottleCall &C) {
+  Context_.Client_->throttle(C, whileRunning<scheduler::OrderReply>(
+                                    [C](auto &S, const auto &R, auto &) {
+                                      scheduler::onThrottled(S, C, R);
+                                    }));
 }
 
 void SliceOwner::send(std::shared_ptr<scheduler::WriteCall> Call) {
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "advice/advice.hpp"
+#include "fleet/worker_registry.hpp"
 #include "intake/intake.hpp"
 #include "ownership/ownership.hpp"
 #include "platform/adapter.hpp"
@@ -14,8 +15,7 @@
 struct SliceContext {
   platform::Client *Client_ = nullptr;
   const workflow::Catalog *Catalog_ = nullptr;
-  const std::map<WorkerId, scheduler::WorkerInfo> *Workers_ = nullptr;
-  const bool *WorkersLoaded_ = nullptr;
+  const WorkerRegistry *Registry_ = nullptr;
   intake::PartitionCopy *Partition_ = nullptr;
   std::function<void(scheduler::AdviceCall)> Ask_;
   std::function<void()> Wake_; ///< Asks for a turn of the event loop.
@@ -47,13 +47,16 @@
 private:
   enum class Stage { Fencing, CatchingUp, Running, Over };
 
+  /// Calls \p H with the reply unless the slice was lost meanwhile.
+  template <class Reply, class Handle>
+  std::function<void(Reply)> whileRunning(Handle H);
   void sendFence();
   void begin();
   void perform(scheduler::Outbox &Out);
-  void send(scheduler::HoldCall Call);
-  void send(scheduler::StartCall Call);
-  void send(scheduler::StopCall Call);
-  void send(scheduler::PaceCall Call);
+  void send(const scheduler::RenewCall &C);
+  void send(const scheduler::StartCall &C);
+  void send(const scheduler::StopCall &C);
+  void send(const scheduler::ThrottleCall &C);
   void send(std::shared_ptr<scheduler::WriteCall> Call);
   void onWritten(const std::shared_ptr<scheduler::WriteCall> &Call,
                  const ledger::AppendReply &Reply);
--- a/packages/advice/src/messages.cpp
+++ b/packages/advice/src/messages.cpp
@@ -7,29 +7,21 @@
 constexpr char AskTag = 'a';
 constexpr char TellTag = 't';
 
-template <class T> std::string pack(char Tag, const T &M) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, M);
-  return Tag + std::string(Buffer.data(), Buffer.size());
-}
-
 } // namespace
 
-std::string encode(const AskMessage &M) { return pack(AskTag, M); }
-std::string encode(const TellMessage &M) { return pack(TellTag, M); }
+std::string encode(const AskMessage &M) { return AskTag + pack(M); }
+std::string encode(const TellMessage &M) { return TellTag + pack(M); }
 
 Message decode(const std::string &Bytes) {
   if (Bytes.empty())
     return {};
-  try {
-    auto Handle = msgpack::unpack(Bytes.data() + 1, Bytes.size() - 1);
-    if (Bytes[0] == AskTag)
-      return Handle.get().as<AskMessage>();
-    if (Bytes[0] == TellTag)
-      return Handle.get().as<TellMessage>();
-  } catch (const std::exception &) {
-    // A frame of another version or a damaged one; the caller counts it.
-  }
+  std::string_view Body(Bytes.data() + 1, Bytes.size() - 1);
+  if (Bytes[0] == AskTag)
+    if (auto M = unpack<AskMessage>(Body))
+      return std::move(*M);
+  if (Bytes[0] == TellTag)
+    if (auto M = unpack<TellMessage>(Body))
+      return std::move(*M);
   return {};
 }
 
--- a/packages/base/base.hpp
+++ b/packages/base/base.hpp
@@ -7,6 +7,7 @@
 #include "base/detail/error.hpp"
 #include "base/detail/ids.hpp"
 #include "base/detail/job_spec.hpp"
+#include "base/detail/packing.hpp"
 #include "base/detail/random.hpp"
 #include "base/detail/resources.hpp"
 #include "base/detail/selector.hpp"
--- a/packages/http/detail/transfer.hpp
+++ b/packages/http/detail/transfer.hpp
@@ -5,6 +5,8 @@
 #include "http/detail/client.hpp"
 
 #include <curl/curl.h>
+#include <memory>
+#include <vector>
 
 namespace pollenvale::http::detail {
 
@@ -23,4 +25,22 @@
 /// Fills status, code and message of \p T.Reply_ after the transfer.
 void conclude(Transfer &T, CURLcode Code);
 
+/// Takes the transfers that have ended out of \p Running, concluded. Their
+/// handles still belong to \p Multi.
+template <class Map>
+std::vector<std::unique_ptr<Transfer>> takeFinished(CURLM *Multi,
+                                                    Map &Running) {
+  std::vector<std::unique_ptr<Transfer>> Out;
+  int Left = 0;
+  while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
+    auto It = Running.find(Message->easy_handle);
+    if (Message->msg != CURLMSG_DONE || It == Running.end())
+      continue;
+    conclude(*It->second, Message->data.result);
+    Out.push_back(std::move(It->second));
+    Running.erase(It);
+  }
+  return Out;
+}
+
 } // namespace pollenvale::http::detail
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -76,17 +76,7 @@
   }
 
   void finishDone() {
-    int Left = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left)) {
-      if (Message->msg != CURLMSG_DONE)
-        continue;
-      CURLcode Code = Message->data.result;
-      auto It = Transfers_.find(Message->easy_handle);
-      if (It == Transfers_.end())
-        continue;
-      std::unique_ptr<Transfer> T = std::move(It->second);
-      Transfers_.erase(It);
-      detail::conclude(*T, Code);
+    for (auto &T : detail::takeFinished(Multi_, Transfers_)) {
       cleanUp(*T);
       T->Done_(std::move(T->Reply_));
     }
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -15,6 +15,14 @@
 /// Handles kept for later calls; making one costs more than resetting it.
 constexpr std::size_t SpareHandles = 64;
 
+/// One way of waiting for a socket.
+struct Direction {
+  int Poll_;  ///< What libcurl asks for.
+  int Event_; ///< What it is told.
+  asio::posix::stream_descriptor::wait_type Wait_;
+  bool Armed_ = false;
+};
+
 /// The event loop's side of one socket of libcurl.
 struct Watch : std::enable_shared_from_this<Watch> {
   Watch(asio::io_context &Io, curl_socket_t Socket)
@@ -22,8 +30,10 @@
   curl_socket_t Socket_;
   asio::posix::stream_descriptor Descriptor_;
   int Wanted_ = 0; ///< CURL_POLL_IN, CURL_POLL_OUT or both.
-  bool ReadArmed_ = false;
-  bool WriteArmed_ = false;
+  Direction Read_{CURL_POLL_IN, CURL_CSELECT_IN,
+                  asio::posix::stream_descriptor::wait_read};
+  Direction Write_{CURL_POLL_OUT, CURL_CSELECT_OUT,
+                   asio::posix::stream_descriptor::wait_write};
 };
 
 class LoopClient : public Client {
@@ -105,32 +115,25 @@
   }
 
   void arm(const std::shared_ptr<Watch> &W) {
-    if ((W->Wanted_ & CURL_POLL_IN) && !W->ReadArmed_) {
-      W->ReadArmed_ = true;
-      W->Descriptor_.async_wait(asio::posix::stream_descriptor::wait_read,
-                                [this, W](std::error_code Err) {
-                                  W->ReadArmed_ = false;
-                                  onReady(W, CURL_CSELECT_IN, CURL_POLL_IN,
-                                          Err);
-                                });
-    }
-    if ((W->Wanted_ & CURL_POLL_OUT) && !W->WriteArmed_) {
-      W->WriteArmed_ = true;
-      W->Descriptor_.async_wait(asio::posix::stream_descriptor::wait_write,
-                                [this, W](std::error_code Err) {
-                                  W->WriteArmed_ = false;
-                                  onReady(W, CURL_CSELECT_OUT, CURL_POLL_OUT,
-                                          Err);
-                                });
-    }
+    for (Direction *D : {&W->Read_, &W->Write_})
+      if ((W->Wanted_ & D->Poll_) && !D->Armed_)
+        arm(W, *D);
+  }
+
+  void arm(const std::shared_ptr<Watch> &W, Direction &D) {
+    D.Armed_ = true;
+    W->Descriptor_.async_wait(D.Wait_, [this, W, &D](std::error_code Err) {
+      D.Armed_ = false;
+      onReady(W, D, Err);
+    });
   }
 
-  void onReady(const std::shared_ptr<Watch> &W, int Event, int Direction,
+  void onReady(const std::shared_ptr<Watch> &W, const Direction &D,
                std::error_code Err) {
-    if (Err || !W->Descriptor_.is_open() || !(W->Wanted_ & Direction))
+    if (Err || !W->Descriptor_.is_open() || !(W->Wanted_ & D.Poll_))
       return;
     int Active = 0;
-    curl_multi_socket_action(Multi_, W->Socket_, Event, &Active);
+    curl_multi_socket_action(Multi_, W->Socket_, D.Event_, &Active);
     finishDone();
     if (W->Descriptor_.is_open())
       arm(W);
@@ -165,21 +168,11 @@
   }
 
   void finishDone() {
-    int Left = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left)) {
-      if (Message->msg != CURLMSG_DONE)
-        continue;
-      CURLcode Code = Message->data.result;
-      auto It = Transfers_.find(Message->easy_handle);
-      if (It == Transfers_.end())
-        continue;
-      std::unique_ptr<Transfer> T = std::move(It->second);
-      Transfers_.erase(It);
-      detail::conclude(*T, Code);
+    for (auto &T : detail::takeFinished(Multi_, Transfers_)) {
       giveBack(*T);
       // The callback may submit: it must not run inside libcurl's own.
-      asio::post(Io_, [T = std::shared_ptr<Transfer>(std::move(T))] {
-        T->Done_(std::move(T->Reply_));
+      asio::post(Io_, [Shared = std::shared_ptr<Transfer>(std::move(T))] {
+        Shared->Done_(std::move(Shared->Reply_));
       });
     }
   }
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -33,8 +33,6 @@
   std::shared_ptr<Count> Total_;
 };
 
-using Running = restinio::running_server_handle_t<Traits>;
-
 std::string lower(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(),
                  [](unsigned char C) { return char(std::tolower(C)); });
@@ -95,51 +93,25 @@
       [Held = std::make_shared<Unwritten>(Total)](const asio::error_code &) {});
 }
 
+/// A running server; \p Close ends it and waits for that.
 class RestinioServer : public Server {
 public:
-  RestinioServer(Running Handle, std::shared_ptr<Count> Total)
-      : Total_(std::move(Total)), Handle_(std::move(Handle)) {}
-  ~RestinioServer() override { stopNow(); }
-  std::size_t unwritten() const override { return *Total_; }
-  void stop() override { stopNow(); }
-
-private:
-  void stopNow() {
-    if (Stopped_)
-      return;
-    Stopped_ = true;
-    Handle_->stop();
-    Handle_->wait();
-  }
-  std::shared_ptr<Count> Total_;
-  Running Handle_;
-  bool Stopped_ = false;
-};
-
-/// A server on the caller's event loop.
-class LoopServer : public Server {
-public:
-  LoopServer(asio::io_context &Io,
-             restinio::server_settings_t<LoopTraits> Settings,
-             std::shared_ptr<Count> Total)
-      : Total_(std::move(Total)),
-        Server_(restinio::external_io_context(Io), std::move(Settings)) {
-    Server_.open_sync();
-  }
-  ~LoopServer() override { stopNow(); }
+  RestinioServer(std::shared_ptr<Count> Total, std::function<void()> Close)
+      : Total_(std::move(Total)), Close_(std::move(Close)) {}
+  ~RestinioServer() override { close(); }
   std::size_t unwritten() const override { return *Total_; }
-  void stop() override { stopNow(); }
+  void stop() override { close(); }
 
 private:
-  void stopNow() {
-    if (Stopped_)
+  void close() {
+    if (Closed_)
       return;
-    Stopped_ = true;
-    Server_.close_sync();
+    Closed_ = true;
+    Close_();
   }
   std::shared_ptr<Count> Total_;
-  restinio::http_server_t<LoopTraits> Server_;
-  bool Stopped_ = false;
+  std::function<void()> Close_;
+  bool Closed_ = false;
 };
 
 RequestHandler wrap(Handler Handle, const std::shared_ptr<Count> &Total) {
@@ -172,10 +144,14 @@
                                     Handler Handle) {
   auto Total = std::make_shared<Count>(0);
   auto Settings = makeSettings<Traits>(Options, std::move(Handle), Total);
-  return std::make_unique<RestinioServer>(
-      restinio::run_async<Traits>(restinio::own_io_context(),
-                                  std::move(Settings), Options.Threads_),
-      std::move(Total));
+  std::shared_ptr<
+      restinio::running_server_instance_t<restinio::http_server_t<Traits>>>
+      Running = restinio::run_async<Traits>(
+          restinio::own_io_context(), std::move(Settings), Options.Threads_);
+  return std::make_unique<RestinioServer>(std::move(Total), [Running] {
+    Running->stop();
+    Running->wait();
+  });
 }
 
 std::unique_ptr<Server> startServer(asio::io_context &Io,
@@ -183,8 +159,11 @@
                                     Handler Handle) {
   auto Total = std::make_shared<Count>(0);
   auto Settings = makeSettings<LoopTraits>(Options, std::move(Handle), Total);
-  return std::make_unique<LoopServer>(Io, std::move(Settings),
-                                      std::move(Total));
+  auto Running = std::make_shared<restinio::http_server_t<LoopTraits>>(
+      restinio::external_io_context(Io), std::move(Settings));
+  Running->open_sync();
+  return std::make_unique<RestinioServer>(std::move(Total),
+                                          [Running] { Running->close_sync(); });
 }
 
 } // namespace pollenvale::http
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -19,8 +19,7 @@
     Open_.push_back(std::move(Done));
   }
   void read(ledger::ReadCall, ledger::Done<ledger::ReadReply>) override {}
-  void newest(ledger::Partition, std::string,
-              ledger::Done<ledger::NewestReply>) override {}
+  void newest(ledger::NewestCall, ledger::Done<ledger::NewestReply>) override {}
 
   void answer(StoreStatus Status) {
     auto Done = std::move(Open_.front());
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -9,7 +9,7 @@
 
 /// A job accepted from a caller. The first one of an id is valid.
 struct AcceptedJob {
-  /// Terms of the queue at acceptance; they hold on if the queue is removed.
+  /// Terms of the queue at acceptance; they stay valid if the queue is removed.
   workflow::Queue Queue_;
   std::int64_t AcceptedUnixMs_ = 0;
   workflow::WorkflowSpec Spec_;
--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -58,7 +58,15 @@
 struct ReadCall {
   Partition From_;
   Offset Offset_ = 0;
-  Milliseconds Wait_{0}; ///< How long the store may wait for a record.
+  Milliseconds Wait_{0};        ///< How long the store may wait for a record.
+  Milliseconds Timeout_{1'000}; ///< Beyond Wait_.
+};
+
+/// Asks for the newest record of each key.
+struct NewestCall {
+  Partition From_;
+  std::string AfterKey_; ///< Only keys after this one; empty for all.
+  Milliseconds Timeout_{1'000};
 };
 
 struct ReadReply {
@@ -84,9 +92,8 @@
   virtual ~Store() = default;
   virtual void append(AppendCall Call, Done<AppendReply> Done) = 0;
   virtual void read(ReadCall Call, Done<ReadReply> Done) = 0;
-  /// Keys after \p AfterKey in order; all from the first when it is empty.
-  virtual void newest(Partition From, std::string AfterKey,
-                      Done<NewestReply> Done) = 0;
+  /// A page of keys in order.
+  virtual void newest(NewestCall Call, Done<NewestReply> Done) = 0;
 };
 
 } // namespace pollenvale::ledger
--- a/packages/ledger/src/record.cpp
+++ b/packages/ledger/src/record.cpp
@@ -12,20 +12,6 @@
 
 std::string keyOf(char Prefix, const JobId &Job) { return Prefix + Job; }
 
-template <class T> std::string pack(const T &Record) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Record);
-  return {Buffer.data(), Buffer.size()};
-}
-
-template <class T> std::optional<T> unpack(const std::string &Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
-  } catch (const std::exception &) {
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 RecordName nameOf(const std::string &Key) {
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -18,7 +18,7 @@
   Milliseconds IdleBeat_{5'000};
   /// An owner silent for this long, while the store answers, is taken over.
   Milliseconds SilenceLimit_{1'900};
-  /// An owner that the store has not answered for this long stops its orders.
+  /// An owner that has not read the claims for this long stops its orders.
   Milliseconds SelfFence_{4'000};
   /// Claims of several entries are spread over this time, so that few race.
   Milliseconds ClaimSpread_{300};
@@ -60,7 +60,8 @@
   std::set<SliceName> Claiming_; ///< Claims in flight.
   TimePoint ContactSince_{};     ///< Start of the present contact to the store.
   TimePoint ContactAt_{};        ///< Last answer of the store.
-  TimePoint BeatStoredAt_{};     ///< Send time of the last stored heartbeat.
+  /// Every claim that was stored before this time has been read.
+  TimePoint CurrentAt_{};
   TimePoint BeatSentAt_{};
   bool BeatInFlight_ = false;
   bool Stopping_ = false;
@@ -80,8 +81,9 @@
 };
 
 void onRecord(State &S, const ledger::KeyedRecord &R, TimePoint Now);
-/// The store answered a read of the claims topic at \p Now.
-void onContact(State &S, TimePoint Now);
+/// The store answered a read of the claims topic at \p Now. \p CurrentAt: every
+/// claim that was stored before then has been read.
+void onContact(State &S, TimePoint CurrentAt, TimePoint Now);
 void onWritten(State &S, const Write &W, const ledger::AppendReply &Reply,
                TimePoint SentAt, TimePoint Now);
 /// Writes that are due. \p Wanted: slices of the configuration in force.
@@ -90,8 +92,9 @@
                         std::optional<Offset> End, TimePoint Now);
 /// Forgets an own slice whose claim turned out to be superseded.
 void drop(State &S, const SliceName &Slice);
-/// False when the owner must not send orders: the store has been out of reach
-/// for so long that another entry may count on its silence.
+/// False when the owner must not send orders: it has not read the claims for so
+/// long that another entry may count on its silence. Heartbeats that are stored
+/// are no sign: an entry that cannot read may have been superseded.
 bool mayOrder(const State &S, TimePoint Now);
 
 } // namespace pollenvale::ownership
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -110,7 +110,8 @@
   }
 }
 
-void onContact(State &S, TimePoint Now) {
+void onContact(State &S, TimePoint CurrentAt, TimePoint Now) {
+  S.CurrentAt_ = std::max(S.CurrentAt_, CurrentAt);
   if (S.ContactAt_ == TimePoint{} || Now - S.ContactAt_ > ContactGap)
     S.ContactSince_ = Now;
   S.ContactAt_ = Now;
@@ -121,8 +122,6 @@
   bool Stored = Reply.Status_ == StoreStatus::Done;
   if (W.Kind_ == Write::Kind::Beat) {
     S.BeatInFlight_ = false;
-    if (Stored)
-      S.BeatStoredAt_ = std::max(S.BeatStoredAt_, SentAt);
     return;
   }
   if (W.Kind_ != Write::Kind::Claim)
@@ -138,7 +137,6 @@
   View =
       SliceView{Reply.First_ + 1, S.Options_.Self_, W.Generation_, false, Now};
   S.Owned_[W.Slice_] = Owned{View.Number_, W.Generation_, W.Clean_, SentAt};
-  S.BeatStoredAt_ = std::max(S.BeatStoredAt_, SentAt);
 }
 
 std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
@@ -166,7 +164,7 @@
 void drop(State &S, const SliceName &Slice) { S.Owned_.erase(Slice); }
 
 bool mayOrder(const State &S, TimePoint Now) {
-  return Now - S.BeatStoredAt_ < S.Options_.SelfFence_;
+  return Now - S.CurrentAt_ < S.Options_.SelfFence_;
 }
 
 } // namespace pollenvale::ownership
--- a/packages/ownership/src/records.cpp
+++ b/packages/ownership/src/records.cpp
@@ -7,20 +7,6 @@
 constexpr char ClaimPrefix = 's';
 constexpr char NodePrefix = 'n';
 
-template <class T> std::string pack(const T &Record) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Record);
-  return {Buffer.data(), Buffer.size()};
-}
-
-template <class T> std::optional<T> unpack(const std::string &Bytes) {
-  try {
-    return msgpack::unpack(Bytes.data(), Bytes.size()).get().as<T>();
-  } catch (const std::exception &) {
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 RecordKind kindOf(const std::string &Key) {
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -51,7 +51,7 @@
       if (Silent_.count(I))
         continue;
       if (!StoreDown_)
-        onContact(Entries_[I], Now_);
+        onContact(Entries_[I], Now_, Now_);
       for (const Write &W : tick(Entries_[I], {"s"}, Log_.size(), Now_))
         onWritten(Entries_[I], W, append(W), Now_, Now_);
     }
@@ -135,11 +135,11 @@
 Test(claims, a_restarted_entry_does_not_wait_for_its_own_silence) {
   Cell C(1);
   C.run(Milliseconds(1'000));
-  State Reborn;
-  Reborn.Options_.Self_ = "n0.2";
+  State Restarted;
+  Restarted.Options_.Self_ = "n0.2";
   for (const ledger::KeyedRecord &R : C.Log_)
-    onRecord(Reborn, R, C.Now_);
-  C.Entries_[0] = Reborn;
+    onRecord(Restarted, R, C.Now_);
+  C.Entries_[0] = Restarted;
   C.run(Milliseconds(700));
   cr_assert_eq(C.owners().size(), 1u);
 }
@@ -147,11 +147,11 @@
 Test(claims, a_claim_without_an_answer_is_not_used) {
   Cell C(1);
   State &S = C.Entries_[0];
-  onContact(S, C.Now_);
+  onContact(S, C.Now_, C.Now_);
   std::vector<Write> Writes;
   for (int I = 0; I < 100 && Writes.size() < 2; ++I) {
     C.Now_ += Milliseconds(25);
-    onContact(S, C.Now_);
+    onContact(S, C.Now_, C.Now_);
     for (Write &W : tick(S, {"s"}, 0, C.Now_))
       Writes.push_back(std::move(W));
   }
@@ -164,3 +164,16 @@
   cr_assert_eq(S.Owned_.size(), 1u);
   cr_assert_not(S.Owned_.at("s").Clean_);
 }
+
+Test(claims, stored_heartbeats_do_not_let_an_owner_order_that_cannot_read) {
+  Cell C(1);
+  C.run(Milliseconds(1'000));
+  State &S = C.Entries_[0];
+  cr_assert(mayOrder(S, C.Now_));
+  for (TimePoint End = C.Now_ + S.Options_.SelfFence_; C.Now_ < End;) {
+    C.Now_ += Milliseconds(25);
+    for (const Write &W : tick(S, {"s"}, std::nullopt, C.Now_))
+      onWritten(S, W, C.append(W), C.Now_, C.Now_);
+  }
+  cr_assert_not(mayOrder(S, C.Now_));
+}
--- a/packages/scheduler/detail/api.hpp
+++ b/packages/scheduler/detail/api.hpp
@@ -20,13 +20,13 @@
 /// The registry no longer names the worker.
 void onWorkerGone(State &S, const WorkerId &Id, TimePoint Now);
 
-void onHold(State &S, const HoldCall &Call, const HoldReply &Reply,
-            TimePoint SentAt, TimePoint Now, Outbox &Out);
+void onRenewed(State &S, const RenewCall &Call, const RenewReply &Reply,
+               TimePoint SentAt, TimePoint Now, Outbox &Out);
 void onStart(State &S, const StartCall &Call, const OrderReply &Reply,
              TimePoint Now, Outbox &Out);
 void onStop(State &S, const StopCall &Call, const OrderReply &Reply,
             TimePoint Now);
-void onPace(State &S, const PaceCall &Call, const OrderReply &Reply);
+void onThrottled(State &S, const ThrottleCall &Call, const OrderReply &Reply);
 void onAdvice(State &S, const AdviceCall &Call, const AdviceReply &Reply,
               TimePoint Now);
 /// \p Stored: the records are in the store. Otherwise they are written again.
--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -22,7 +22,7 @@
   std::set<std::string> Labels_;
   std::string Rack_;
   bool Draining_ = false;
-  std::int64_t BornUnixMs_ = 0; ///< Start of its present life.
+  std::int64_t StartedUnixMs_ = 0; ///< Start of its present incarnation.
 };
 
 /// Where a call goes and under which right.
@@ -30,11 +30,12 @@
   WorkerId Worker_;
   std::string Address_;
   Token Token_ = 0;
+  Milliseconds Timeout_{350}; ///< How long to wait for the answer.
 };
 
 /// Extends the leases of everything that runs on a worker, forgets ends up to
 /// AckedEnd_ and asks what runs.
-struct HoldCall {
+struct RenewCall {
   Target To_;
   std::uint64_t AckedEnd_ = 0;
   std::optional<Milliseconds> LeaseUntil_; ///< On the worker's clock.
@@ -57,8 +58,8 @@
   std::uint32_t Run_ = 0;
 };
 
-/// Limits how much of its processors a filler uses.
-struct PaceCall {
+/// Limits how much of its processors a best-effort task uses.
+struct ThrottleCall {
   Target To_;
   TaskId Task_;
   std::uint32_t Run_ = 0;
@@ -85,10 +86,10 @@
 };
 
 struct Outbox {
-  std::vector<HoldCall> Holds_;
+  std::vector<RenewCall> Renewals_;
   std::vector<StartCall> Starts_;
   std::vector<StopCall> Stops_;
-  std::vector<PaceCall> Paces_;
+  std::vector<ThrottleCall> Throttles_;
   std::vector<AdviceCall> Advice_;
   std::vector<WriteCall> Writes_;
   std::vector<Note> Notes_;
@@ -118,21 +119,29 @@
   double Gauge_ = 0;
 };
 
-enum class EndKind { Done, Failed, Stopped, Lapsed, Broken, Alone };
+enum class EndKind {
+  Done,
+  Failed,
+  Stopped,
+  Lapsed,
+  GangBroken,
+  GangIncomplete
+};
 std::string_view toString(EndKind Kind);
 
 struct EndedTask {
-  std::uint64_t Number_ = 0; ///< Counts the ends of this life of the worker.
+  std::uint64_t Number_ =
+      0; ///< Counts the ends of this incarnation of the worker.
   TaskId Task_;
   std::uint32_t Run_ = 0;
   EndKind Kind_ = EndKind::Failed;
   std::string Checkpoint_;
 };
 
-struct HoldReply {
+struct RenewReply {
   CallStatus Status_ = CallStatus::NoAnswer;
   Milliseconds Clock_{0}; ///< The worker's clock.
-  std::int64_t BornUnixMs_ = 0;
+  std::int64_t StartedUnixMs_ = 0;
   std::vector<RunningTask> Running_;
   std::vector<EndedTask> Ended_;
   std::size_t Unreadable_ = 0; ///< Rows of the lists left out.
--- a/packages/scheduler/detail/placing.hpp
+++ b/packages/scheduler/detail/placing.hpp
@@ -9,14 +9,14 @@
 
 /// Place of a waiting step in the order; smaller goes first.
 struct WaitKey {
-  bool Hopeless_ = false; ///< Past the time in which it is worth anything.
-  bool Overdue_ = false;  ///< Past its objective.
+  bool Expired_ = false; ///< Past the time in which it is worth anything.
+  bool Overdue_ = false; ///< Past its objective.
   int Priority_ = 0;
   TimePoint DueAt_{};
   TimePoint AcceptedAt_{};
 
   auto key() const {
-    return std::tie(Hopeless_, Overdue_, Priority_, DueAt_, AcceptedAt_);
+    return std::tie(Expired_, Overdue_, Priority_, DueAt_, AcceptedAt_);
   }
   bool operator<(const WaitKey &O) const { return key() < O.key(); }
   bool operator==(const WaitKey &O) const { return key() == O.key(); }
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -31,7 +31,7 @@
   bool StopWanted_ = false;
   unsigned Percent_ = 0;
   TimePoint AdvancedAt_{}; ///< When Percent_ last grew.
-  unsigned AppliedPace_ = 100;
+  unsigned AppliedShare_ = 100;
 };
 
 struct Task {
@@ -90,22 +90,24 @@
   bool Listed_ = true;    ///< The registry names it.
   bool Rostered_ = false; ///< A stored roster names it.
   bool Known_ = false;    ///< It has told what runs, under this owner's token.
-  std::int64_t Life_ = 0; ///< Start of the life that Known_ is about.
+  std::int64_t Incarnation_ =
+      0; ///< Start of the incarnation that Known_ is about.
   std::set<TaskId> Tasks_;
   Resources Used_;
   Resources Unclaimed_; ///< Of runs on it that no job accounts for.
   Milliseconds Clock_{0};
   TimePoint ClockAt_{};
-  bool HoldInFlight_ = false;
-  TimePoint HoldDueAt_{};
-  unsigned Misses_ = 0; ///< Holds in a row without an answer.
+  bool RenewInFlight_ = false;
+  TimePoint RenewDueAt_{};
+  unsigned Misses_ = 0; ///< Renewals in a row without an answer.
   /// Latest end of any lease that this owner has given there.
   TimePoint LeaseEndsAt_{};
   std::uint64_t SeenEnd_ = 0;
   std::uint64_t StoredEnd_ = 0; ///< Ends up to here are stored.
   std::set<JobId> FailedJobs_;  ///< Jobs that failed there since a success.
   TimePoint AvoidUntil_{};
-  unsigned Pace_ = 100; ///< Share that fillers there may work at.
+  unsigned BestEffortShare_ =
+      100; ///< Share that best-effort tasks there may work at.
 };
 
 struct Options {
@@ -124,7 +126,7 @@
 /// Ends that become acknowledgeable once a write is stored.
 struct PendingAck {
   WorkerId Worker_;
-  std::int64_t Life_ = 0;
+  std::int64_t Incarnation_ = 0;
   std::uint64_t End_ = 0;
 };
 
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -66,12 +66,12 @@
 /// Stops tasks on the worker that stand still, so that they start elsewhere.
 void stopStalled(State &S, Worker &W, TimePoint Now, Outbox &Out);
 
-void planHolds(State &S, TimePoint Now, Outbox &Out);
+void planRenewals(State &S, TimePoint Now, Outbox &Out);
 void resendOrders(State &S, TimePoint Now, Outbox &Out);
 void checkInheritance(State &S, TimePoint Now, Outbox &Out);
 void planWrites(State &S, TimePoint Now, Outbox &Out);
 /// Starts waiting tasks and asks for permits they need.
 void placeTasks(State &S, TimePoint Now, Outbox &Out);
-void adjustPace(State &S, Worker &W, const HoldReply &Reply, Outbox &Out);
+void adjustThrottle(State &S, Worker &W, const RenewReply &Reply, Outbox &Out);
 
 } // namespace pollenvale::scheduler::detail
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -23,6 +23,18 @@
   return &*T->Run_;
 }
 
+/// Notes that \p Call is answered. Returns its run, if that is still the
+/// task's.
+template <class Call>
+Run *takeAnswer(State &S, const Call &C, const OrderReply &Reply) {
+  if (Reply.Status_ == CallStatus::Fenced)
+    S.Fenced_ = true;
+  Run *R = findRun(S, C.Task_, C.To_.Worker_, C.Run_);
+  if (R)
+    R->InFlight_ = false;
+  return R;
+}
+
 /// The worker has certainly not started the run.
 void cancelStart(State &S, const TaskId &Id, TimePoint Now) {
   if (Task *T = findTask(S, Id))
@@ -38,8 +50,8 @@
   if (!R.StopWanted_)
     S.Unsettled_.erase(Call.Task_);
   Worker &W = S.Workers_.at(R.Worker_);
-  if (!W.HoldInFlight_ && W.SeenEnd_ == W.StoredEnd_)
-    W.HoldDueAt_ = Now;
+  if (!W.RenewInFlight_ && W.SeenEnd_ == W.StoredEnd_)
+    W.RenewDueAt_ = Now;
   count(S.Counters_, "start-accepted");
 }
 
@@ -65,19 +77,16 @@
 }
 
 std::string_view toString(EndKind Kind) {
-  static constexpr std::string_view Names[] = {"done",   "failed", "stopped",
-                                               "lapsed", "broken", "alone"};
+  static constexpr std::string_view Names[] = {
+      "done", "failed", "stopped", "lapsed", "gang-broken", "gang-incomplete"};
   return Names[std::size_t(Kind)];
 }
 
 void onStart(State &S, const StartCall &Call, const OrderReply &Reply,
              TimePoint Now, Outbox &Out) {
-  if (Reply.Status_ == CallStatus::Fenced)
-    S.Fenced_ = true;
-  Run *R = findRun(S, Call.Task_, Call.To_.Worker_, Call.Run_);
+  Run *R = takeAnswer(S, Call, Reply);
   if (!R)
     return;
-  R->InFlight_ = false;
   if (Reply.Status_ != CallStatus::Done) {
     count(S.Counters_, "start-" + std::string(toString(Reply.Status_)));
     Out.Notes_.push_back({"start-refused",
@@ -102,8 +111,8 @@
     R->Phase_ = RunPhase::Unresolved;
     R->SettledAt_ = Now;
     S.Unsettled_.erase(Call.Task_);
-    if (!W.HoldInFlight_)
-      W.HoldDueAt_ = Now;
+    if (!W.RenewInFlight_)
+      W.RenewDueAt_ = Now;
     return;
   case CallStatus::NoPermit:
     if (Step *P = detail::findStep(S, Call.Task_.Step_))
@@ -114,7 +123,7 @@
     W.AvoidUntil_ = std::max(W.AvoidUntil_, Now + RefusalPause);
     break;
   case CallStatus::Elsewhere:
-    W.HoldDueAt_ = Now;
+    W.RenewDueAt_ = Now;
     break;
   default:
     break;
@@ -131,19 +140,16 @@
 
 void onStop(State &S, const StopCall &Call, const OrderReply &Reply,
             TimePoint Now) {
-  if (Reply.Status_ == CallStatus::Fenced)
-    S.Fenced_ = true;
-  Run *R = findRun(S, Call.Task_, Call.To_.Worker_, Call.Run_);
+  Run *R = takeAnswer(S, Call, Reply);
   if (!R)
     return;
-  R->InFlight_ = false;
   if (Reply.Status_ == CallStatus::Done) {
     // From here on the worker rejects the run, and lists it while it ends.
     R->SettledAt_ = Now;
     S.Unsettled_.erase(Call.Task_);
     Worker &W = S.Workers_.at(R->Worker_);
-    if (!W.HoldInFlight_)
-      W.HoldDueAt_ = Now;
+    if (!W.RenewInFlight_)
+      W.RenewDueAt_ = Now;
     return;
   }
   count(S.Counters_, "stop-" + std::string(toString(Reply.Status_)));
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -44,7 +44,7 @@
   WaitKey Key;
   auto Objective = J.DueAt_ - J.AcceptedAt_;
   Key.Overdue_ = Now > J.DueAt_;
-  Key.Hopeless_ = Now > J.AcceptedAt_ + Objective * WorthlessAfter;
+  Key.Expired_ = Now > J.AcceptedAt_ + Objective * WorthlessAfter;
   Key.Priority_ = J.Queue_.Priority_;
   Key.DueAt_ = J.DueAt_;
   Key.AcceptedAt_ = J.AcceptedAt_;
--- a/packages/scheduler/src/stalls.cpp
+++ b/packages/scheduler/src/stalls.cpp
@@ -40,8 +40,8 @@
     if (!Spec || !T || !T->Run_)
       continue;
     const Run &X = *T->Run_;
-    // A paced filler may rest, and a gang waits for its members.
-    if (X.Phase_ != RunPhase::Running || X.StopWanted_ || Spec->Filler_ ||
+    // A throttled best-effort task may rest, and a gang waits for its members.
+    if (X.Phase_ != RunPhase::Running || X.StopWanted_ || Spec->BestEffort_ ||
         Spec->Gang_ || Now - X.AdvancedAt_ < stallLimit(*Spec))
       continue;
     Jobs.insert(Id.Step_.Job_);
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// Times of one step as of its job's acceptance, in ms.
-nlohmann::json storyOf(const Job &J, const Step &P) {
+nlohmann::json timesOf(const Job &J, const Step &P) {
   auto Since = [&](TimePoint T) {
     return T == TimePoint{} ? -1 : elapsed(J.AcceptedAt_, T).count();
   };
@@ -33,13 +33,13 @@
 }
 
 /// One line for each job that has ended: where its time went.
-void tellClosed(State &S, Outbox &Out) {
+void noteClosed(State &S, Outbox &Out) {
   for (const JobId &Id : S.Closed_) {
     const Job &J = S.Jobs_.at(Id);
     nlohmann::json Steps = nlohmann::json::array();
     for (const auto &[Number, O] : J.Open_)
       for (const Step &P : O.Steps_)
-        Steps.push_back(storyOf(J, P));
+        Steps.push_back(timesOf(J, P));
     Out.Notes_.push_back(
         {"job-closed",
          {{"job", Id},
@@ -66,9 +66,9 @@
   detail::checkInheritance(S, Now, Out);
   detail::resendOrders(S, Now, Out);
   detail::placeTasks(S, Now, Out);
-  detail::planHolds(S, Now, Out);
+  detail::planRenewals(S, Now, Out);
   detail::planWrites(S, Now, Out);
-  tellClosed(S, Out);
+  noteClosed(S, Out);
 }
 
 TimePoint nextDue(const State &S, TimePoint Now) {
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -13,14 +13,14 @@
 namespace {
 
 /// A worker asked once in this time keeps its lease and tells its clock.
-constexpr Milliseconds IdleHoldInterval{1'500};
-/// How long a worker with tasks may keep a hold waiting for an end.
-constexpr Milliseconds BusyHoldWait{1'000};
+constexpr Milliseconds IdleRenewInterval{1'500};
+/// How long a worker with tasks may keep a renewal waiting for an end.
+constexpr Milliseconds BusyRenewWait{1'000};
 /// The same while answers get lost: each lost one hides ends for that long.
-constexpr Milliseconds LossyHoldWait{200};
+constexpr Milliseconds LossyRenewWait{200};
 constexpr Milliseconds LossyTime{4'000};
-constexpr Milliseconds HoldSpacing{10};
-constexpr Milliseconds HoldRetryInterval{200};
+constexpr Milliseconds RenewSpacing{10};
+constexpr Milliseconds RenewRetryInterval{200};
 /// Limit for storing ends before the worker is asked again.
 constexpr Milliseconds StoreWait{250};
 /// A worker's clock may be slow by this share; leases last longer for it.
@@ -56,21 +56,22 @@
   W.LeaseEndsAt_ = std::max(W.LeaseEndsAt_, Now + Longest + LeaseMargin);
 }
 
-void planHolds(State &S, TimePoint Now, Outbox &Out) {
+void planRenewals(State &S, TimePoint Now, Outbox &Out) {
   for (auto &[Id, W] : S.Workers_) {
-    if (W.HoldInFlight_ || Now < W.HoldDueAt_ || !W.Rostered_)
+    if (W.RenewInFlight_ || Now < W.RenewDueAt_ || !W.Rostered_)
       continue;
-    HoldCall Call{targetOf(S, W), W.StoredEnd_};
+    RenewCall Call{targetOf(S, W), W.StoredEnd_};
     // A worker that does not answer may be gone: its tasks start elsewhere
     // once no lease can last, so no further one is given.
     if (W.Known_ && W.Misses_ == 0) {
       Call.LeaseUntil_ = clockOf(W, Now) + S.Options_.Lease_;
       extendLease(S, W, S.Options_.Lease_, Now);
       if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
-        Call.Wait_ = Now < S.LossyUntil_ ? LossyHoldWait : BusyHoldWait;
+        Call.Wait_ = Now < S.LossyUntil_ ? LossyRenewWait : BusyRenewWait;
     }
-    W.HoldInFlight_ = true;
-    Out.Holds_.push_back(std::move(Call));
+    Call.To_.Timeout_ += Call.Wait_;
+    W.RenewInFlight_ = true;
+    Out.Renewals_.push_back(std::move(Call));
   }
 }
 
@@ -80,7 +81,7 @@
     bool Lapsed = Now > W.LeaseEndsAt_;
     if (Lapsed && W.Misses_ > 0)
       loseTasks(S, W, Now, Out, "lease");
-    if (Lapsed && !W.Listed_ && W.Tasks_.empty() && !W.HoldInFlight_ &&
+    if (Lapsed && !W.Listed_ && W.Tasks_.empty() && !W.RenewInFlight_ &&
         !S.Unaccounted_.count(It->first)) {
       It = S.Workers_.erase(It);
       S.RosterDirty_ = true;
@@ -146,7 +147,7 @@
     T.Checkpoint_ = R.Checkpoint_;
 }
 
-void applyRunning(State &S, Worker &W, const HoldReply &Reply, bool First,
+void applyRunning(State &S, Worker &W, const RenewReply &Reply, bool First,
                   TimePoint Now, Outbox &Out) {
   W.Unclaimed_ = {};
   for (const RunningTask &R : Reply.Running_) {
@@ -171,7 +172,8 @@
 }
 
 /// Runs that a list asked for after they were settled lacks have ended.
-void dropAbsent(State &S, Worker &W, const HoldReply &Reply, TimePoint SentAt) {
+void dropAbsent(State &S, Worker &W, const RenewReply &Reply,
+                TimePoint SentAt) {
   std::set<TaskId> Listed;
   for (const RunningTask &R : Reply.Running_)
     Listed.insert(R.Task_);
@@ -190,28 +192,28 @@
 
 void onMiss(State &S, Worker &W, TimePoint Now) {
   ++W.Misses_;
-  count(S.Counters_, "hold-no-answer");
+  count(S.Counters_, "renewal-no-answer");
   noteLoss(S, Now);
-  W.HoldDueAt_ = Now + HoldRetryInterval;
+  W.RenewDueAt_ = Now + RenewRetryInterval;
 }
 
-void onLife(State &S, Worker &W, const HoldReply &Reply) {
-  if (W.Known_ && W.Life_ == Reply.BornUnixMs_)
+void onIncarnation(State &S, Worker &W, const RenewReply &Reply) {
+  if (W.Known_ && W.Incarnation_ == Reply.StartedUnixMs_)
     return;
   if (W.Known_)
-    count(S.Counters_, "worker-reborn");
-  W.Life_ = Reply.BornUnixMs_;
+    count(S.Counters_, "worker-restarted");
+  W.Incarnation_ = Reply.StartedUnixMs_;
   W.SeenEnd_ = W.StoredEnd_ = 0;
   W.FailedJobs_.clear();
 }
 
-void planNextHold(Worker &W, TimePoint Now) {
+void planNextRenewal(Worker &W, TimePoint Now) {
   if (W.SeenEnd_ > W.StoredEnd_)
-    W.HoldDueAt_ = Now + StoreWait;
+    W.RenewDueAt_ = Now + StoreWait;
   else if (!W.Tasks_.empty())
-    W.HoldDueAt_ = Now + HoldSpacing;
+    W.RenewDueAt_ = Now + RenewSpacing;
   else
-    W.HoldDueAt_ = Now + IdleHoldInterval;
+    W.RenewDueAt_ = Now + IdleRenewInterval;
 }
 
 } // namespace
@@ -224,10 +226,10 @@
   bool Moved = !New && W.Info_.Address_ != Info.Address_;
   if (New) {
     S.RosterDirty_ = true;
-    W.HoldDueAt_ = Now;
+    W.RenewDueAt_ = Now;
   }
-  if (Moved || (!New && W.Info_.BornUnixMs_ != Info.BornUnixMs_))
-    W.HoldDueAt_ = Now;
+  if (Moved || (!New && W.Info_.StartedUnixMs_ != Info.StartedUnixMs_))
+    W.RenewDueAt_ = Now;
   if (New || !W.Listed_ || W.Info_.Draining_ != Info.Draining_)
     S.PlaceWanted_ = true;
   W.Info_ = Info;
@@ -241,13 +243,13 @@
   It->second.Listed_ = false;
 }
 
-void onHold(State &S, const HoldCall &Call, const HoldReply &Reply,
-            TimePoint SentAt, TimePoint Now, Outbox &Out) {
+void onRenewed(State &S, const RenewCall &Call, const RenewReply &Reply,
+               TimePoint SentAt, TimePoint Now, Outbox &Out) {
   auto It = S.Workers_.find(Call.To_.Worker_);
   if (It == S.Workers_.end())
     return;
   Worker &W = It->second;
-  W.HoldInFlight_ = false;
+  W.RenewInFlight_ = false;
   if (Reply.Status_ == CallStatus::Fenced) {
     S.Fenced_ = true;
     return;
@@ -258,7 +260,7 @@
     W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
     detail::loseTasks(S, W, Now, Out, "replaced");
     detail::onMiss(S, W, Now);
-    W.HoldDueAt_ = Now + Milliseconds(1'000);
+    W.RenewDueAt_ = Now + Milliseconds(1'000);
     return;
   }
   if (Reply.Status_ != CallStatus::Done) {
@@ -271,7 +273,7 @@
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
   bool First = !W.Known_;
-  detail::onLife(S, W, Reply);
+  detail::onIncarnation(S, W, Reply);
   W.Known_ = true;
   for (const EndedTask &End : Reply.Ended_) {
     if (End.Number_ <= W.SeenEnd_)
@@ -282,7 +284,7 @@
   }
   detail::applyRunning(S, W, Reply, First, Now, Out);
   detail::dropAbsent(S, W, Reply, SentAt);
-  detail::adjustPace(S, W, Reply, Out);
+  detail::adjustThrottle(S, W, Reply, Out);
   detail::stopStalled(S, W, Now, Out);
   detail::account(S, Call.To_.Worker_);
   if (First) {
@@ -292,10 +294,10 @@
                            {"running", Reply.Running_.size()},
                            {"ended", Reply.Ended_.size()}}});
   }
-  detail::planNextHold(W, Now);
+  detail::planNextRenewal(W, Now);
   // The lease begins with the first answer that tells the worker's clock.
   if (!Call.LeaseUntil_)
-    W.HoldDueAt_ = Now;
+    W.RenewDueAt_ = Now;
 }
 
 } // namespace pollenvale::scheduler
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -15,19 +15,19 @@
 
 void acknowledge(State &S, const PendingAck &Ack, TimePoint Now) {
   auto It = S.Workers_.find(Ack.Worker_);
-  if (It == S.Workers_.end() || It->second.Life_ != Ack.Life_)
+  if (It == S.Workers_.end() || It->second.Incarnation_ != Ack.Incarnation_)
     return;
   Worker &W = It->second;
   W.StoredEnd_ = std::max(W.StoredEnd_, Ack.End_);
   if (W.SeenEnd_ == W.StoredEnd_ && W.Misses_ == 0)
-    W.HoldDueAt_ = Now;
+    W.RenewDueAt_ = Now;
 }
 
 std::vector<PendingAck> collectAcks(const State &S) {
   std::vector<PendingAck> Out;
   for (const auto &[Id, W] : S.Workers_)
     if (W.SeenEnd_ > W.StoredEnd_)
-      Out.push_back({Id, W.Life_, W.SeenEnd_});
+      Out.push_back({Id, W.Incarnation_, W.SeenEnd_});
   return Out;
 }
 
@@ -133,7 +133,7 @@
     if (It == S.Workers_.end() || It->second.Rostered_)
       continue;
     It->second.Rostered_ = true;
-    It->second.HoldDueAt_ = Now;
+    It->second.RenewDueAt_ = Now;
   }
   for (const PendingAck &Ack : Pending.Acks_)
     detail::acknowledge(S, Ack, Now);
--- a/packages/scheduler/tests/unit-attempts.cpp
+++ b/packages/scheduler/tests/unit-attempts.cpp
@@ -9,21 +9,17 @@
 
 namespace {
 
-FleetCell makeCell() {
-  FleetCell C;
-  C.addPlainQueue();
-  for (const char *Id : {"a", "b", "c"})
-    C.addWorker(Id);
+void failAll(FleetCell &C) {
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(150), EndKind::Failed};
   };
-  return C;
 }
 
 } // namespace
 
 Test(attempts, a_task_that_fails_too_often_fails_its_job) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  failAll(C);
   C.takeOver();
   C.submit("j1", plainJob({plainStep(1)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Failed; }));
@@ -33,7 +29,8 @@
 }
 
 Test(attempts, a_failed_task_tries_another_worker) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  failAll(C);
   C.takeOver();
   C.submit("j1", plainJob({plainStep(1)}));
   cr_assert(C.runUntil([&] { return C.Starts_.size() == 2; }));
@@ -43,7 +40,8 @@
 Test(attempts, a_new_owner_counts_ends_in_any_order) {
   // The former owner could not store its last ends: the new one reads the ends
   // of two runs from two workers, the later run first.
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  failAll(C);
   C.takeOver();
   C.submit("j1", plainJob({plainStep(1)}));
   cr_assert(C.runUntil([&] { return C.Starts_.size() == 1; }));
@@ -59,7 +57,8 @@
 }
 
 Test(attempts, an_end_that_is_listed_twice_counts_once) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  failAll(C);
   C.FateOf_ = [](const TaskId &, std::uint32_t Run) {
     return Fate{Milliseconds(150), Run == 1 ? EndKind::Failed : EndKind::Done};
   };
@@ -72,21 +71,22 @@
 }
 
 Test(attempts, a_worker_that_fails_everything_is_set_aside) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  failAll(C);
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(50)};
   };
   C.takeOver();
   C.run(Milliseconds(200));
   scheduler::Outbox Out;
-  scheduler::HoldCall Call{{"a", "a:1", C.owner().Token_}};
-  scheduler::HoldReply Reply;
+  scheduler::RenewCall Call{{"a", "a:1", C.owner().Token_}};
+  scheduler::RenewReply Reply;
   Reply.Status_ = scheduler::CallStatus::Done;
-  Reply.BornUnixMs_ = C.worker("a").Info_.BornUnixMs_;
+  Reply.StartedUnixMs_ = C.worker("a").Info_.StartedUnixMs_;
   for (std::uint32_t I = 0; I < 3; ++I)
     Reply.Ended_.push_back(
         {I + 1, {{"o" + std::to_string(I), 0, 0}, 0}, 1, EndKind::Failed, ""});
-  scheduler::onHold(C.owner().State_, Call, Reply, C.Now_, C.Now_, Out);
+  scheduler::onRenewed(C.owner().State_, Call, Reply, C.Now_, C.Now_, Out);
   C.submit("j1", plainJob({plainStep(6)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
   for (const std::string &Start : C.Starts_)
--- a/packages/scheduler/tests/unit-gangs.cpp
+++ b/packages/scheduler/tests/unit-gangs.cpp
@@ -16,19 +16,11 @@
   return S;
 }
 
-FleetCell makeCell() {
-  FleetCell C;
-  C.addPlainQueue();
-  for (const char *Id : {"a", "b", "c"})
-    C.addWorker(Id);
-  C.takeOver();
-  return C;
-}
-
 } // namespace
 
 Test(gangs, all_members_start_at_once_with_one_number) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
   C.submit("j1", plainJob({gangOf(3)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
   cr_assert_eq(C.Starts_.size(), 3u);
@@ -37,7 +29,8 @@
 }
 
 Test(gangs, a_gang_without_room_for_all_starts_none) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
   C.submit("j1", plainJob({gangOf(4)}));
   C.run(Milliseconds(2'000));
   cr_assert(C.Starts_.empty());
@@ -46,7 +39,8 @@
 }
 
 Test(gangs, the_rest_of_a_gang_stops_when_a_member_is_lost) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t Run) {
     return Fate{Milliseconds(Run == 1 ? 60'000 : 500)};
   };
@@ -60,7 +54,8 @@
 }
 
 Test(gangs, a_gang_goes_on_from_its_checkpoint) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t Run) {
     return Fate{Milliseconds(Run == 1 ? 60'000 : 500)};
   };
--- a/packages/scheduler/tests/unit-orders.cpp
+++ b/packages/scheduler/tests/unit-orders.cpp
@@ -7,20 +7,8 @@
 using namespace pollenvale::fleettest;
 using workflow::JobState;
 
-namespace {
-
-FleetCell makeCell() {
-  FleetCell C;
-  C.addPlainQueue();
-  for (const char *Id : {"a", "b", "c"})
-    C.addWorker(Id);
-  return C;
-}
-
-} // namespace
-
 Test(orders, lost_answers_do_not_run_a_task_twice) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.Failures_.LostAnswer_ = 0.4;
   C.takeOver();
   for (int I = 0; I < 20; ++I)
@@ -30,7 +18,7 @@
 }
 
 Test(orders, late_orders_do_not_run_a_task_twice) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.Failures_.LateOrder_ = 0.3;
   C.takeOver();
   for (int I = 0; I < 20; ++I)
@@ -41,7 +29,7 @@
 }
 
 Test(orders, tasks_of_a_worker_that_is_gone_start_elsewhere) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(3'000)};
@@ -58,7 +46,7 @@
 }
 
 Test(orders, a_worker_that_is_cut_off_runs_its_tasks_alone) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(60'000)};
@@ -75,7 +63,7 @@
 }
 
 Test(orders, a_worker_that_was_born_again_has_lost_its_tasks) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(2'000)};
@@ -91,7 +79,7 @@
 }
 
 Test(orders, no_end_is_acknowledged_before_it_is_stored) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.submit("j1", plainJob({plainStep(4)}));
   C.run(Milliseconds(100));
--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -10,20 +10,18 @@
 
 namespace {
 
-FleetCell makeCell() {
-  FleetCell C;
-  C.addPlainQueue();
-  C.Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{20, 1, 2'000};
-  for (const char *Id : {"a", "b", "c", "d"})
-    C.addWorker(Id);
-  C.takeOver();
-  return C;
-}
+/// A cell whose queue needs permits.
+struct AskingCell : FleetCell {
+  AskingCell() : FleetCell(std::vector<WorkerId>{"a", "b", "c", "d"}) {
+    Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{20, 1, 2'000};
+    takeOver();
+  }
+};
 
 } // namespace
 
 Test(permits, tasks_start_only_where_the_policy_allows) {
-  FleetCell C = makeCell();
+  AskingCell C;
   C.Allows_ = [](const WorkerId &W) { return W == "b" || W == "d"; };
   C.submit("j1", plainJob({plainStep(12)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
@@ -32,14 +30,14 @@
 }
 
 Test(permits, one_call_serves_all_tasks_of_a_step) {
-  FleetCell C = makeCell();
+  AskingCell C;
   C.submit("j1", plainJob({plainStep(8)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
   cr_assert_eq(C.AdviceCalls_, 1u);
 }
 
 Test(permits, a_lapsed_permit_is_asked_for_again) {
-  FleetCell C = makeCell();
+  AskingCell C;
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(3'000)};
   };
@@ -49,7 +47,7 @@
 }
 
 Test(permits, a_full_fleet_is_not_asked_about) {
-  FleetCell C = makeCell();
+  AskingCell C;
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(20'000)};
   };
--- a/packages/scheduler/tests/unit-lasting.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -1,4 +1,5 @@
-/// Service tasks: restarted however they end, and fillers paced beside them.
+/// Service tasks: restarted however they end, and best-effort tasks throttled
+/// beside them.
 #include "fleet/fleet_cell.hpp"
 
 #include <criterion/criterion.h>
@@ -7,21 +8,9 @@
 using namespace pollenvale::fleettest;
 using workflow::JobState;
 
-namespace {
-
-FleetCell makeCell() {
-  FleetCell C;
-  C.addPlainQueue();
-  for (const char *Id : {"a", "b"})
-    C.addWorker(Id);
+Test(services, a_service_task_is_restarted_however_often_it_fails) {
+  FleetCell C({"a", "b"});
   C.takeOver();
-  return C;
-}
-
-} // namespace
-
-Test(lasting, a_service_task_is_restarted_however_often_it_fails) {
-  FleetCell C = makeCell();
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(200), EndKind::Failed};
   };
@@ -33,13 +22,14 @@
   cr_assert_eq(C.state("j1"), JobState::Running);
 }
 
-Test(lasting, a_filler_takes_no_processors) {
-  FleetCell C = makeCell();
+Test(services, a_best_effort_task_takes_no_processors) {
+  FleetCell C({"a", "b"});
+  C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(20'000)};
   };
   workflow::StepSpec S = plainStep(30);
-  S.Filler_ = true;
+  S.BestEffort_ = true;
   C.submit("j1", plainJob({S}));
   C.run(Milliseconds(500));
   cr_assert_eq(C.Starts_.size(), 30u);
@@ -47,62 +37,57 @@
 
 namespace {
 
-/// A service task with a target of 100 ms beside a filler on one worker.
-std::vector<scheduler::PaceCall> tellTail(FleetCell &C, double TailMs) {
-  scheduler::HoldReply Reply;
+/// A service task with a target of 100 ms beside a best-effort task on one
+/// worker.
+std::vector<scheduler::ThrottleCall> reportTail(FleetCell &C, double TailMs) {
+  scheduler::RenewReply Reply;
   Reply.Status_ = scheduler::CallStatus::Done;
-  Reply.BornUnixMs_ = C.worker("a").Info_.BornUnixMs_;
+  Reply.StartedUnixMs_ = C.worker("a").Info_.StartedUnixMs_;
   Reply.Clock_ = clockOf(C.worker("a"), C.Now_);
   Reply.Running_ = {{{{"serve", 0, 0}, 0}, 1, "", 100, TailMs},
                     {{{"fill", 0, 0}, 0}, 1, "", 10, 500}};
-  scheduler::HoldCall Call{{"a", "a:1", C.owner().Token_}};
+  scheduler::RenewCall Call{{"a", "a:1", C.owner().Token_}};
   Call.LeaseUntil_ = Milliseconds(0);
   scheduler::Outbox Out;
-  scheduler::onHold(C.owner().State_, Call, Reply, C.Now_, C.Now_, Out);
-  return Out.Paces_;
+  scheduler::onRenewed(C.owner().State_, Call, Reply, C.Now_, C.Now_, Out);
+  return Out.Throttles_;
 }
 
-FleetCell makePaced() {
-  FleetCell C;
-  C.addPlainQueue();
-  C.addWorker("a");
-  C.takeOver();
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(60'000)};
-  };
-  workflow::StepSpec Serve = plainStep(1);
-  Serve.LongRunning_ = true;
-  Serve.TailTargetMs_ = 100;
-  workflow::StepSpec Fill = plainStep(1);
-  Fill.Filler_ = true;
-  C.submit("serve", plainJob({Serve}));
-  C.submit("fill", plainJob({Fill}));
-  C.run(Milliseconds(500));
-  return C;
-}
+/// A service task beside a best-effort task on one worker.
+struct SharedWorker : FleetCell {
+  SharedWorker() : FleetCell(std::vector<WorkerId>{"a"}) {
+    takeOver();
+    setRunTime(Milliseconds(60'000));
+    workflow::StepSpec Serve = plainStep(1);
+    Serve.LongRunning_ = true;
+    Serve.TailTargetMs_ = 100;
+    workflow::StepSpec Fill = plainStep(1);
+    Fill.BestEffort_ = true;
+    submit("serve", plainJob({Serve}));
+    submit("fill", plainJob({Fill}));
+    run(Milliseconds(500));
+  }
+};
 
 } // namespace
 
-Test(lasting, fillers_rest_while_a_service_misses_its_target) {
-  FleetCell C = makePaced();
-  cr_assert_eq(tellTail(C, 150).at(0).Percent_, 25u);
-  cr_assert_eq(tellTail(C, 150).at(0).Percent_, 0u);
-  cr_assert(tellTail(C, 150).empty());
+Test(services, best_effort_tasks_rest_while_a_service_misses_its_target) {
+  SharedWorker C;
+  cr_assert_eq(reportTail(C, 150).at(0).Percent_, 25u);
+  cr_assert_eq(reportTail(C, 150).at(0).Percent_, 0u);
+  cr_assert(reportTail(C, 150).empty());
 }
 
-Test(lasting, fillers_speed_up_again_step_by_step) {
-  FleetCell C = makePaced();
-  tellTail(C, 150);
-  cr_assert_eq(tellTail(C, 30).at(0).Percent_, 40u);
-  cr_assert(tellTail(C, 70).empty());
+Test(services, best_effort_tasks_speed_up_again_step_by_step) {
+  SharedWorker C;
+  reportTail(C, 150);
+  cr_assert_eq(reportTail(C, 30).at(0).Percent_, 40u);
+  cr_assert(reportTail(C, 70).empty());
 }
 
-Test(lasting, a_service_task_is_not_starved_by_short_ones) {
+Test(services, a_service_task_is_not_starved_by_short_ones) {
   // Short work fills each gap at once; the policy takes longer than a gap.
-  FleetCell C;
-  C.addPlainQueue();
-  C.addWorker("a");
-  C.addWorker("b");
+  FleetCell C({"a", "b"});
   C.Catalog_.Queues_[0].SlackMs_ = 600'000;
   workflow::Queue Slow = C.Catalog_.Queues_[0];
   Slow.Name_ = "slow";
--- a/packages/scheduler/tests/unit-stalls.cpp
+++ b/packages/scheduler/tests/unit-stalls.cpp
@@ -8,27 +8,23 @@
 
 namespace {
 
-/// Workers whose tasks report the percents that a test sets.
-FleetCell makeCell(workflow::StepSpec S) {
-  FleetCell C;
-  C.addPlainQueue();
-  C.addWorker("a");
-  C.addWorker("b");
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(60'000)};
-  };
-  for (auto &[Id, W] : C.Workers_)
-    W.Percent_ = 0;
-  C.takeOver();
-  C.submit("j1", plainJob({S}));
-  C.run(Milliseconds(300));
-  return C;
-}
+/// One job on two workers that report no progress until a test says so.
+struct StalledCell : FleetCell {
+  explicit StalledCell(const workflow::StepSpec &S)
+      : FleetCell(std::vector<WorkerId>{"a", "b"}) {
+    setRunTime(Milliseconds(60'000));
+    for (auto &[Id, W] : Workers_)
+      W.Percent_ = 0;
+    takeOver();
+    submit("j1", plainJob({S}));
+    run(Milliseconds(300));
+  }
+};
 
 } // namespace
 
 Test(stalls, a_task_that_stands_still_starts_elsewhere) {
-  FleetCell C = makeCell(plainStep(1));
+  StalledCell C(plainStep(1));
   cr_assert_eq(C.Starts_.size(), 1u);
   C.run(Milliseconds(6'000));
   cr_assert_geq(C.Starts_.size(), 2u);
@@ -37,7 +33,7 @@
 }
 
 Test(stalls, a_task_that_advances_is_left_alone) {
-  FleetCell C = makeCell(plainStep(1));
+  StalledCell C(plainStep(1));
   for (unsigned Percent = 1; Percent < 10; ++Percent) {
     for (auto &[Id, W] : C.Workers_)
       W.Percent_ = Percent;
@@ -49,7 +45,7 @@
 Test(stalls, a_service_task_at_work_does_not_advance) {
   workflow::StepSpec S = plainStep(1);
   S.LongRunning_ = true;
-  FleetCell C = makeCell(S);
+  StalledCell C(S);
   for (auto &[Id, W] : C.Workers_)
     W.Percent_ = 100;
   C.run(Milliseconds(20'000));
--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -7,20 +7,8 @@
 using namespace pollenvale::fleettest;
 using workflow::JobState;
 
-namespace {
-
-FleetCell makeCell() {
-  FleetCell C;
-  C.addPlainQueue();
-  for (const char *Id : {"a", "b", "c"})
-    C.addWorker(Id);
-  return C;
-}
-
-} // namespace
-
 Test(steps, all_tasks_run_and_the_job_completes) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.submit("j1", plainJob({plainStep(10)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
@@ -29,7 +17,7 @@
 }
 
 Test(steps, a_step_waits_for_all_tasks_of_the_steps_before_it) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   workflow::StepSpec Second = plainStep(2);
   Second.After_ = {0};
@@ -44,7 +32,7 @@
 }
 
 Test(steps, at_most_so_many_tasks_of_a_step_on_one_worker) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   workflow::StepSpec S = plainStep(6);
   S.MaxPerWorker_ = 1;
@@ -55,7 +43,7 @@
 }
 
 Test(steps, a_required_label_restricts_the_workers) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.worker("b").Info_.Labels_ = {"special"};
   C.takeOver();
   workflow::StepSpec S = plainStep(3);
@@ -67,7 +55,7 @@
 }
 
 Test(steps, a_cancelled_job_is_stopped_and_starts_nothing) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.FateOf_ = [](const TaskId &, std::uint32_t) {
     return Fate{Milliseconds(20'000)};
@@ -84,7 +72,7 @@
 }
 
 Test(steps, a_draining_worker_gets_no_task) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.worker("a").Info_.Draining_ = true;
   C.takeOver();
   C.submit("j1", plainJob({plainStep(16)}));
@@ -94,7 +82,7 @@
 }
 
 Test(steps, a_job_closed_long_ago_is_removed) {
-  FleetCell C = makeCell();
+  FleetCell C({"a", "b", "c"});
   C.takeOver();
   C.submit("j1", plainJob({plainStep(2)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -7,22 +7,10 @@
 using namespace pollenvale::fleettest;
 using workflow::JobState;
 
-namespace {
-
-FleetCell makeCell(Milliseconds Length) {
-  FleetCell C;
-  C.addPlainQueue();
-  for (const char *Id : {"a", "b", "c"})
-    C.addWorker(Id);
-  C.FateOf_ = [Length](const TaskId &, std::uint32_t) { return Fate{Length}; };
-  C.takeOver();
-  return C;
-}
-
-} // namespace
-
 Test(takeover, running_tasks_are_adopted) {
-  FleetCell C = makeCell(Milliseconds(4'000));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(4'000));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(12)}));
   C.run(Milliseconds(1'000));
   C.killOwner();
@@ -33,7 +21,9 @@
 }
 
 Test(takeover, the_former_owner_is_fenced) {
-  FleetCell C = makeCell(Milliseconds(4'000));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(4'000));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(12)}));
   C.run(Milliseconds(500));
   Owner &Old = C.owner();
@@ -48,7 +38,9 @@
 Test(takeover, a_silent_worker_keeps_inherited_tasks_waiting) {
   // Its tasks may run there, so none of them starts elsewhere before no lease
   // of the former owner can last.
-  FleetCell C = makeCell(Milliseconds(60'000));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(60'000));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(12)}));
   C.run(Milliseconds(500));
   C.killOwner();
@@ -65,7 +57,9 @@
 
 Test(takeover, a_cut_off_owner_and_its_worker_stay_apart_from_the_new_one) {
   // Only the former owner reaches the worker, and neither reaches the store.
-  FleetCell C = makeCell(Milliseconds(60'000));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(60'000));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(12)}));
   C.run(Milliseconds(500));
   C.owner().CutFromStore_ = true;
@@ -75,7 +69,9 @@
 }
 
 Test(takeover, a_freed_slice_is_taken_over_without_a_long_wait) {
-  FleetCell C = makeCell(Milliseconds(500));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(500));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(30)}));
   C.run(Milliseconds(300));
   C.killOwner();
@@ -85,7 +81,9 @@
 }
 
 Test(takeover, runs_of_two_owners_have_different_numbers) {
-  FleetCell C = makeCell(Milliseconds(60'000));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(60'000));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(1)}));
   C.run(Milliseconds(300));
   C.killOwner();
@@ -98,7 +96,9 @@
 }
 
 Test(takeover, the_store_may_be_away_for_a_while) {
-  FleetCell C = makeCell(Milliseconds(300));
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(300));
+  C.takeOver();
   C.submit("j1", plainJob({plainStep(60)}));
   C.run(Milliseconds(200));
   C.StoreDown_ = true;
--- a/packages/workflow/detail/queue.hpp
+++ b/packages/workflow/detail/queue.hpp
@@ -13,7 +13,7 @@
 struct AdvicePolicy {
   double DecisionMs_ = 0;
   double PerWorkerMs_ = 0;
-  std::uint32_t ValidityMs_ = 2'000; ///< Life of a permit.
+  std::uint32_t ValidityMs_ = 2'000; ///< Incarnation of a permit.
   MSGPACK_DEFINE(DecisionMs_, PerWorkerMs_, ValidityMs_)
 };
 
--- a/packages/workflow/detail/spec.hpp
+++ b/packages/workflow/detail/spec.hpp
@@ -35,12 +35,12 @@
   bool Speculative_ = false;
   bool LongRunning_ = false; ///< Runs until cancelled, restarted at any end.
   /// Uses processors that other tasks leave idle; its own size is not counted.
-  bool Filler_ = false;
+  bool BestEffort_ = false;
 
   MSGPACK_DEFINE(Count_, Size_, EstimateMs_, After_, RequiredLabel_, DataRack_,
                  Image_, MaxPerWorker_, TailTargetMs_, MaxUnavailable_,
                  Checkpointing_, Gang_, SameRack_, Speculative_, LongRunning_,
-                 Filler_)
+                 BestEffort_)
 };
 
 struct WorkflowSpec {
@@ -63,7 +63,8 @@
 /// Success, or BadSpec with the place and value of the first fault.
 Result<bool> check(const WorkflowSpec &Spec);
 
-/// Size that a task takes from its worker: fillers take no processors.
+/// Size that a task takes from its worker: best-effort tasks take no
+/// processors.
 Resources chargedSize(const StepSpec &Step);
 /// Occurrences of the job, at least 1.
 std::uint32_t occurrences(const WorkflowSpec &Spec);
--- a/packages/workflow/src/spec.cpp
+++ b/packages/workflow/src/spec.cpp
@@ -48,7 +48,7 @@
 
 Resources chargedSize(const StepSpec &Step) {
   Resources Size = Step.Size_;
-  if (Step.Filler_)
+  if (Step.BestEffort_)
     Size.Cpu_ = 0;
   return Size;
 }
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -16,7 +16,7 @@
   std::uint32_t Run = W.Runs_.at(Id).Number_;
   W.Runs_.erase(Id);
   W.Past_[Id] = std::max(W.Past_[Id], Run);
-  bool Saved = Kind == EndKind::Stopped || Kind == EndKind::Broken;
+  bool Saved = Kind == EndKind::Stopped || Kind == EndKind::GangBroken;
   std::string Checkpoint = Saved ? "saved" : "";
   W.Ends_.push_back({++W.LastEnd_, Id, Run, Kind, Checkpoint});
 }
@@ -47,7 +47,7 @@
     TimePoint DoneAt = R.WorksSince_ ? *R.WorksSince_ + R.Fate_.Length_
                                      : R.StartedAt_ + GangTime;
     if (DoneAt <= Now && DoneAt <= W.LeaseEndsAt_)
-      end(W, Id, R.WorksSince_ ? R.Fate_.Kind_ : EndKind::Alone);
+      end(W, Id, R.WorksSince_ ? R.Fate_.Kind_ : EndKind::GangIncomplete);
     else if (W.LeaseEndsAt_ <= Now)
       end(W, Id, EndKind::Lapsed);
     else if (R.StopsAt_ && *R.StopsAt_ <= Now)
@@ -55,14 +55,14 @@
   }
 }
 
-void restart(FakeWorker &W, std::int64_t BornUnixMs) {
+void restart(FakeWorker &W, std::int64_t StartedUnixMs) {
   W.Runs_.clear();
   W.Past_.clear();
   W.Ends_.clear();
   W.LastEnd_ = 0;
   W.Token_ = 0;
   W.LeaseEndsAt_ = {};
-  W.Info_.BornUnixMs_ = BornUnixMs;
+  W.Info_.StartedUnixMs_ = StartedUnixMs;
 }
 
 scheduler::OrderReply start(FakeWorker &W, const scheduler::StartCall &C,
@@ -118,13 +118,13 @@
 
 } // namespace
 
-scheduler::HoldReply hold(FakeWorker &W, const scheduler::HoldCall &C,
-                          TimePoint Now) {
+scheduler::RenewReply renew(FakeWorker &W, const scheduler::RenewCall &C,
+                            TimePoint Now) {
   advance(W, Now);
-  scheduler::HoldReply Out;
+  scheduler::RenewReply Out;
   Out.Status_ = checkToken(W, C.To_.Token_);
   Out.Clock_ = clockOf(W, Now);
-  Out.BornUnixMs_ = W.Info_.BornUnixMs_;
+  Out.StartedUnixMs_ = W.Info_.StartedUnixMs_;
   if (Out.Status_ != CallStatus::Done)
     return Out;
   if (C.LeaseUntil_)
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -59,13 +59,13 @@
 /// Ends what is over by \p Now: done, failed, stopped or without a lease.
 void advance(FakeWorker &W, TimePoint Now);
 /// Its process ends and starts again, knowing nothing.
-void restart(FakeWorker &W, std::int64_t BornUnixMs);
+void restart(FakeWorker &W, std::int64_t StartedUnixMs);
 
 scheduler::OrderReply start(FakeWorker &W, const scheduler::StartCall &C,
                             const Nature &N, TimePoint Now);
 scheduler::OrderReply stop(FakeWorker &W, const scheduler::StopCall &C,
                            TimePoint Now);
-scheduler::HoldReply hold(FakeWorker &W, const scheduler::HoldCall &C,
-                          TimePoint Now);
+scheduler::RenewReply renew(FakeWorker &W, const scheduler::RenewCall &C,
+                            TimePoint Now);
 
 } // namespace pollenvale::fleettest
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -11,7 +11,7 @@
 
 constexpr Milliseconds TickInterval{20};
 constexpr Milliseconds OrderTimeout{350};
-constexpr Milliseconds HoldMargin{350};
+constexpr Milliseconds RenewMargin{350};
 constexpr Milliseconds AppendTime{6};
 /// An owner without the store stops its orders after this time.
 constexpr Milliseconds SelfFence{4'000};
@@ -40,7 +40,7 @@
   W.Info_.Address_ = Id + ":1";
   W.Info_.Service_ = "s";
   W.Info_.Capacity_ = Capacity;
-  W.Info_.BornUnixMs_ = std::int64_t(Born_++);
+  W.Info_.StartedUnixMs_ = std::int64_t(NextStart_++);
   W.ClockShift_ = Milliseconds(std::int64_t(Random_.below(100'000)));
   for (auto &O : Owners_)
     scheduler::onWorker(O->State_, W.Info_, Now_);
@@ -215,7 +215,7 @@
     send(O, C);
   for (const auto &C : Out.Starts_)
     send(O, C);
-  for (const auto &C : Out.Holds_)
+  for (const auto &C : Out.Renewals_)
     send(O, C);
   for (const auto &C : Out.Advice_)
     send(O, C);
@@ -223,14 +223,14 @@
     send(O, C);
 }
 
-void FleetCell::send(Owner &O, const scheduler::HoldCall &C) {
+void FleetCell::send(Owner &O, const scheduler::RenewCall &C) {
   TimePoint SentAt = Now_;
   bool Lost = Random_.unit() < Failures_.LostAnswer_;
   at(Now_ + trip(), [=, this, &O] {
-    scheduler::HoldReply Reply;
-    TimePoint AnswerAt = SentAt + C.Wait_ + HoldMargin;
+    scheduler::RenewReply Reply;
+    TimePoint AnswerAt = SentAt + C.Wait_ + RenewMargin;
     if (reaches(C.To_.Worker_)) {
-      Reply = hold(Workers_.at(C.To_.Worker_), C, Now_);
+      Reply = renew(Workers_.at(C.To_.Worker_), C, Now_);
       if (Lost)
         Reply = {};
       else
@@ -240,7 +240,7 @@
       if (isDown(O))
         return;
       scheduler::Outbox Out;
-      scheduler::onHold(O.State_, C, Reply, SentAt, Now_, Out);
+      scheduler::onRenewed(O.State_, C, Reply, SentAt, Now_, Out);
       perform(O, Out);
     });
   });
@@ -271,9 +271,9 @@
   if (Late) {
     auto Delay = Milliseconds(2'000 + std::int64_t(Random_.below(10'000)));
     // An order that waits in a worker's process ends with that process.
-    std::int64_t Life = Workers_.at(C.To_.Worker_).Info_.BornUnixMs_;
+    std::int64_t Incarnation = Workers_.at(C.To_.Worker_).Info_.StartedUnixMs_;
     at(Now_ + Delay, [=, this] {
-      if (Workers_.at(C.To_.Worker_).Info_.BornUnixMs_ == Life)
+      if (Workers_.at(C.To_.Worker_).Info_.StartedUnixMs_ == Incarnation)
         applyStart(C, nullptr);
     });
   }
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -35,6 +35,14 @@
 class FleetCell {
 public:
   explicit FleetCell(std::uint64_t Seed = 1) : Random_{Seed} {}
+  /// With a plain queue and these workers.
+  explicit FleetCell(const std::vector<WorkerId> &Workers) : FleetCell() {
+    addPlainQueue();
+    for (const WorkerId &Id : Workers)
+      addWorker(Id);
+  }
+  FleetCell(const FleetCell &) = delete;
+  FleetCell &operator=(const FleetCell &) = delete;
 
   /// Adds a worker of 8 cores that the registry names.
   FakeWorker &addWorker(const WorkerId &Id,
@@ -49,6 +57,10 @@
   /// A new owner claims the slice. \p Clean: the former gave it up.
   Owner &takeOver(bool Clean = false);
   void killOwner();
+  /// Every run takes this long and is done.
+  void setRunTime(Milliseconds Length) {
+    FateOf_ = [Length](const TaskId &, std::uint32_t) { return Fate{Length}; };
+  }
 
   /// Runs until the time has come.
   void run(Milliseconds Time);
@@ -98,7 +110,7 @@
   void step(TimePoint Limit);
   void turn(Owner &O);
   void perform(Owner &O, scheduler::Outbox &Out);
-  void send(Owner &O, const scheduler::HoldCall &C);
+  void send(Owner &O, const scheduler::RenewCall &C);
   void send(Owner &O, const scheduler::StartCall &C);
   void send(Owner &O, const scheduler::StopCall &C);
   void send(Owner &O, const scheduler::AdviceCall &C);
@@ -122,7 +134,7 @@
   std::uint64_t NextOrder_ = 0;
   std::map<JobId, workflow::WorkflowSpec> Specs_;
   std::map<JobId, TimePoint> CancelledAt_;
-  std::uint64_t Born_ = 1;
+  std::uint64_t NextStart_ = 1;
 };
 
 /// A step of \p Count tasks of one core each.
--- a/tests/fleet/fleet_checks.cpp
+++ b/tests/fleet/fleet_checks.cpp
@@ -93,7 +93,7 @@
         R.WorksSince_ = Now_;
         R.Fate_ = F;
       } else if (!All && G.Working_) {
-        end(*W, Id, EndKind::Broken);
+        end(*W, Id, EndKind::GangBroken);
       }
     }
   }
