HTTP client: sockets that never got to connect leave no stale watch

Cause: libcurl 7.88 closes a socket that has not finished connecting without calling CLOSESOCKETFUNCTION. Its watch stayed, the kernel dropped it from epoll, and a later socket of the same number was never registered: its calls moved on only at libcurl's own timers (200 ms to connect, 400 ms to the first byte). After each cut an entry could own a slice and read its jobs every 0.43 s.

Change: sockets are opened by our own OPENSOCKETFUNCTION, which forgets a watch of the same number. The test fails without it (10 s without an answer).

--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -68,6 +68,8 @@
     T->Done_ = std::move(Done);
     T->Easy_ = takeHandle();
     detail::prepare(*T);
+    curl_easy_setopt(T->Easy_, CURLOPT_OPENSOCKETFUNCTION, onOpen);
+    curl_easy_setopt(T->Easy_, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(T->Easy_, CURLOPT_CLOSESOCKETFUNCTION, onClose);
     curl_easy_setopt(T->Easy_, CURLOPT_CLOSESOCKETDATA, this);
     CURL *Easy = T->Easy_;
@@ -139,6 +141,25 @@
       arm(W);
   }
 
+  /// libcurl closes a socket that never got to connect without a word, so the
+  /// number of a new one may still be watched.
+  static curl_socket_t onOpen(void *User, curlsocktype,
+                              curl_sockaddr *Address) {
+    curl_socket_t Socket = ::socket(
+        Address->family, Address->socktype | SOCK_CLOEXEC, Address->protocol);
+    static_cast<LoopClient *>(User)->forget(Socket);
+    return Socket;
+  }
+
+  void forget(curl_socket_t Socket) {
+    auto It = Watches_.find(Socket);
+    if (It == Watches_.end())
+      return;
+    It->second->Wanted_ = 0;
+    It->second->Descriptor_.release();
+    Watches_.erase(It);
+  }
+
   static int onClose(void *User, curl_socket_t Socket) {
     auto *Self = static_cast<LoopClient *>(User);
     auto It = Self->Watches_.find(Socket);
