Take-over: no wait for workers that left empty or for owners known to have ended

Changes: - A draining worker without tasks gets no lease and leaves the roster at once. - An owner whose VM runs another process (same name and address) has ended, so the 4 s in which a cut-off owner may give leases aren't added to the wait. - That holds only if the last owner had itself settled what its predecessors left: the roster says whose it is and whether they had.

Tests that fail without it: an_empty_worker_that_has_left_is_not_waited_for, the_wait_for_inherited_leases_counts_owners_before_the_last, slices_that_share_a_partition_keep_their_own_rosters. The schedules got workers that drain and leave; a killed owner counts as ended there. The test a_restarted_entry_does_not_wait_for_its_own_silence gives the restarted entry its VM's address: without one the rule rightly does not hold.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -231,7 +231,7 @@
                  {{"slice", Slice},
                   {"claim", Own.Number_},
                   {"generation", Own.Generation_},
-                  {"clean", Own.Clean_}});
+                  {"predecessor", toString(Own.Before_)}});
     Registry_.follow();
     std::uint32_t Partition = intake::partitionOf(Slice);
     followPartition(Partition);
@@ -299,8 +299,9 @@
 
   void turn() {
     bool MayOrder = ownership::mayOrder(Claims_, now());
+    bool StoreAway = ownership::isStoreAway(Claims_, now());
     for (auto &[Slice, Owner] : Owners_)
-      Owner->turn(MayOrder);
+      Owner->turn(MayOrder, StoreAway);
     Policy_.turn(Claims_);
   }
 
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -12,7 +12,6 @@
 
 constexpr Milliseconds FenceRetryInterval{200};
 constexpr Milliseconds RewriteInterval{200};
-constexpr Milliseconds Lease{5'000};
 constexpr Milliseconds LeaseMargin{400};
 
 } // namespace
@@ -70,15 +69,15 @@
   O.Token_ = Claim_.Number_;
   O.Generation_ = Claim_.Generation_;
   O.ClaimedAt_ = Claim_.ClaimedAt_;
-  O.Lease_ = Lease;
   O.MaxLease_ = Context_.MaxLease_;
   O.KeepClosed_ = Context_.KeepClosed_;
-  // Until then an owner cut off from the store may have given leases.
-  Milliseconds Longest = Lease + LeaseMargin;
-  if (!Claim_.Clean_)
-    Longest += SelfFence_;
-  O.InheritedLeasesEndAt_ = Claim_.ClaimedAt_ + Longest;
-  State_ = scheduler::makeState(std::move(O), *Context_.Catalog_, Copy.Roster_);
+  auto Stored = Copy.Rosters_.find(Slice_);
+  ledger::Roster Roster =
+      Stored == Copy.Rosters_.end() ? ledger::Roster{} : Stored->second;
+  O.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
+      Claim_, Roster, std::max(O.Lease_, O.OutageLease_) + LeaseMargin,
+      SelfFence_);
+  State_ = scheduler::makeState(std::move(O), *Context_.Catalog_, Roster);
   for (const auto &[Id, Info] : Context_.Registry_->workers())
     if (Info.Service_ == Slice_)
       scheduler::onWorker(State_, Info, now());
@@ -93,14 +92,14 @@
                {{"slice", Slice_},
                 {"claim", Claim_.Number_},
                 {"generation", Claim_.Generation_},
-                {"clean", Claim_.Clean_},
+                {"predecessor", toString(Claim_.Before_)},
                 {"after_ms", elapsed(Claim_.ClaimedAt_, now()).count()},
                 {"jobs", Jobs},
                 {"workers", State_.Workers_.size()},
                 {"unaccounted", State_.Unaccounted_.size()}});
 }
 
-void SliceOwner::turn(bool MayOrder) {
+void SliceOwner::turn(bool MayOrder, bool StoreAway) {
   if (Stage_ == Stage::Fencing)
     sendFence();
   if (Stage_ == Stage::CatchingUp && Context_.Partition_->Tail_.Loaded_ &&
@@ -114,6 +113,7 @@
     Rewrite_.reset();
     send(std::move(Call));
   }
+  State_.StoreAway_ = StoreAway;
   scheduler::Outbox Out;
   scheduler::tick(State_, now(), nowUnixMs(), Out);
   perform(Out);
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -30,7 +30,8 @@
              Milliseconds SelfFence);
 
   /// Makes every call that is due. \p MayOrder: the claim is fresh enough.
-  void turn(bool MayOrder);
+  /// \p StoreAway: the store has not been read for a moment.
+  void turn(bool MayOrder, bool StoreAway);
   void onRecord(const ledger::Change &Change);
   void onWorker(const scheduler::WorkerInfo &Info);
   void onWorkerGone(const WorkerId &Id);
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -16,25 +16,29 @@
   MSGPACK_DEFINE(Queue_, AcceptedUnixMs_, Spec_)
 };
 
-/// Workers to which the owner of a slice may have given leases.
+/// Workers to which the owners of a slice may have given leases.
 struct Roster {
   std::vector<WorkerId> Workers_;
-  MSGPACK_DEFINE(Workers_)
+  std::uint64_t Claim_ = 0; ///< Claim of the owner that wrote it.
+  /// The writer knew where every task of the owners before it was.
+  bool Settled_ = false;
+  MSGPACK_DEFINE(Workers_, Claim_, Settled_)
 };
 
 enum class RecordKind { Job, Cancel, Progress, Roster, Fence, Unknown };
 
-/// Kind of the record with \p Key and, for the first three, its job.
+/// Kind of the record with \p Key and whose it is.
 struct RecordName {
   RecordKind Kind_ = RecordKind::Unknown;
-  JobId Job_;
+  JobId Job_;         ///< Of a job, a cancellation and a progress.
+  std::string Slice_; ///< Of a roster and a fence.
 };
 RecordName nameOf(const std::string &Key);
 
 KeyedRecord makeJob(const JobId &Job, const AcceptedJob &Record);
 KeyedRecord makeCancel(const JobId &Job);
 KeyedRecord makeProgress(const JobId &Job, const workflow::Progress &Record);
-KeyedRecord makeRoster(const Roster &Record);
+KeyedRecord makeRoster(const std::string &Slice, const Roster &Record);
 /// First record of a new owner; all that comes before it is the past.
 KeyedRecord makeFence(const std::string &Slice, std::uint64_t Claim);
 /// Records that remove every key of \p Job.
--- a/packages/ledger/detail/replica.hpp
+++ b/packages/ledger/detail/replica.hpp
@@ -20,8 +20,8 @@
   std::map<JobId, JobRow> Jobs_;
   /// Cancellations and progress read before their job, by the order of keys.
   std::map<JobId, JobRow> Early_;
-  Roster Roster_;
-  std::uint64_t Unreadable_ = 0; ///< Records that could not be read.
+  std::map<std::string, Roster> Rosters_; ///< By slice.
+  std::uint64_t Unreadable_ = 0;          ///< Records that could not be read.
 };
 
 /// What one record changed.
--- a/packages/ledger/src/record.cpp
+++ b/packages/ledger/src/record.cpp
@@ -8,26 +8,26 @@
 constexpr char CancelPrefix = 'c';
 constexpr char ProgressPrefix = 'p';
 constexpr char FencePrefix = 'f';
-constexpr char RosterKey[] = "roster";
+constexpr char RosterPrefix = 'r';
 
 std::string keyOf(char Prefix, const JobId &Job) { return Prefix + Job; }
 
 } // namespace
 
 RecordName nameOf(const std::string &Key) {
-  if (Key == RosterKey)
-    return {RecordKind::Roster, {}};
   if (Key.size() < 2)
     return {};
   switch (Key[0]) {
   case JobPrefix:
-    return {RecordKind::Job, Key.substr(1)};
+    return {RecordKind::Job, Key.substr(1), {}};
   case CancelPrefix:
-    return {RecordKind::Cancel, Key.substr(1)};
+    return {RecordKind::Cancel, Key.substr(1), {}};
   case ProgressPrefix:
-    return {RecordKind::Progress, Key.substr(1)};
+    return {RecordKind::Progress, Key.substr(1), {}};
   case FencePrefix:
-    return {RecordKind::Fence, {}};
+    return {RecordKind::Fence, {}, Key.substr(1)};
+  case RosterPrefix:
+    return {RecordKind::Roster, {}, Key.substr(1)};
   default:
     return {};
   }
@@ -45,8 +45,8 @@
   return {keyOf(ProgressPrefix, Job), pack(Record)};
 }
 
-KeyedRecord makeRoster(const Roster &Record) {
-  return {RosterKey, pack(Record)};
+KeyedRecord makeRoster(const std::string &Slice, const Roster &Record) {
+  return {RosterPrefix + Slice, pack(Record)};
 }
 
 KeyedRecord makeFence(const std::string &Slice, std::uint64_t Claim) {
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -62,12 +62,12 @@
     return applyProgress(Copy, Name.Job_, R);
   case RecordKind::Roster:
     if (auto Roster = parseRoster(R.Value_))
-      Copy.Roster_ = std::move(*Roster);
+      Copy.Rosters_[Name.Slice_] = std::move(*Roster);
     else
       ++Copy.Unreadable_;
     return {};
   case RecordKind::Fence:
-    return {Change::Kind::Fenced, {}, R.Key_.substr(1), parseFence(R.Value_)};
+    return {Change::Kind::Fenced, {}, Name.Slice_, parseFence(R.Value_)};
   case RecordKind::Unknown:
     ++Copy.Unreadable_;
     return {};
--- a/packages/ledger/tests/unit-replica.cpp
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -85,3 +85,16 @@
     apply(Copy, R);
   cr_assert(Copy.Jobs_.empty());
 }
+
+Test(replica, slices_that_share_a_partition_keep_their_own_rosters) {
+  Replica Copy;
+  KeyedRecord A = makeRoster("a", {{"w1", "w2"}, 3, true});
+  KeyedRecord B = makeRoster("b", {{"w9"}, 4, false});
+  A.Offset_ = 1;
+  B.Offset_ = 2;
+  apply(Copy, A);
+  apply(Copy, B);
+  cr_assert_eq(Copy.Rosters_.at("a").Workers_.size(), 2u);
+  cr_assert(Copy.Rosters_.at("a").Settled_);
+  cr_assert_eq(Copy.Rosters_.at("b").Claim_, 4u);
+}
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -20,6 +20,8 @@
   Milliseconds SilenceLimit_{1'900};
   /// An owner that has not read the claims for this long stops its orders.
   Milliseconds SelfFence_{4'000};
+  /// The store seems away when the claims could not be read for this long.
+  Milliseconds AwayAfter_{1'300};
   /// Claims of several entries are spread over this time, so that few race.
   Milliseconds ClaimSpread_{300};
   /// An entry waits this much longer for each slice that it owns already.
@@ -29,6 +31,7 @@
 struct SliceView {
   ClaimNumber Number_ = 0;
   NodeId Holder_;
+  std::string Address_; ///< Of the holder, for messages between entries.
   std::uint32_t Generation_ = 0;
   bool GivenUp_ = false;
   TimePoint SeenAt_{};    ///< When the claim was read.
@@ -42,13 +45,20 @@
   TimePoint SeenAt_{};
 };
 
+/// What is known of the owner before.
+enum class Predecessor {
+  None,  ///< There was none, or it gave the slice up: it gives no orders.
+  Ended, ///< Its VM runs another process: it gave no order after the claim.
+  MayRun ///< It may give orders until it fences itself.
+};
+std::string_view toString(Predecessor P);
+
 /// A slice that this entry owns.
 struct Owned {
   ClaimNumber Number_ = 0;
   std::uint32_t Generation_ = 0;
-  /// The previous owner gave the slice up or there was none, so no order of it
-  /// can still be on its way.
-  bool Clean_ = false;
+  Predecessor Before_ = Predecessor::None;
+  ClaimNumber Previous_ = 0; ///< Claim of the predecessor.
   TimePoint ClaimedAt_{};
 };
 
@@ -77,7 +87,8 @@
   std::optional<Offset> ExpectedEnd_;
   /// Of a claim: what the slice's owner will be.
   std::uint32_t Generation_ = 0;
-  bool Clean_ = false;
+  Predecessor Before_ = Predecessor::None;
+  ClaimNumber Previous_ = 0; ///< Claim of the predecessor.
 };
 
 void onRecord(State &S, const ledger::KeyedRecord &R, TimePoint Now);
@@ -90,11 +101,18 @@
 /// \p End: end of the claims partition as far as it was read.
 std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
                         std::optional<Offset> End, TimePoint Now);
+/// When no lease that an earlier owner has given can last any longer, by the
+/// roster that the slice's new owner has read. \p Lease: longest time on a
+/// worker's clock that any owner gives, with its margin.
+TimePoint inheritedLeasesEnd(const Owned &Own, const ledger::Roster &Roster,
+                             Milliseconds Lease, Milliseconds SelfFence);
 /// Forgets an own slice whose claim turned out to be superseded.
 void drop(State &S, const SliceName &Slice);
 /// False when the owner must not send orders: it has not read the claims for so
 /// long that another entry may count on its silence. Heartbeats that are stored
 /// are no sign: an entry that cannot read may have been superseded.
 bool mayOrder(const State &S, TimePoint Now);
+/// The claims have not been read for so long that the store seems away.
+bool isStoreAway(const State &S, TimePoint Now);
 
 } // namespace pollenvale::ownership
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -19,7 +19,8 @@
   /// Number of the claim given up; 0 for a new claim, whose number is the
   /// offset of its record plus 1.
   ClaimNumber GivenUp_ = 0;
-  MSGPACK_DEFINE(Holder_, Generation_, GivenUp_)
+  std::string Address_; ///< The holder's, as in its NodeRecord.
+  MSGPACK_DEFINE(Holder_, Generation_, GivenUp_, Address_)
 };
 
 /// Heartbeat of an entry.
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -25,7 +25,7 @@
   ClaimNumber Number = Offset + 1;
   if (Number <= View.Number_)
     return;
-  View = SliceView{Number, R.Holder_, R.Generation_, false, Now};
+  View = SliceView{Number, R.Holder_, R.Address_, R.Generation_, false, Now};
   auto Own = S.Owned_.find(Slice);
   if (Own != S.Owned_.end() && Own->second.Number_ < Number)
     S.Owned_.erase(Own);
@@ -40,17 +40,25 @@
   return elapsed(Heard, S.ContactAt_);
 }
 
+Predecessor predecessorOf(const State &S, const SliceView &View) {
+  if (View.Number_ == 0 || View.GivenUp_)
+    return Predecessor::None;
+  // The holder's process has ended if its VM runs another one. A VM of the same
+  // name at another address may be a replacement that runs beside it.
+  auto It = S.Nodes_.find(nodeName(View.Holder_));
+  bool Ended = It != S.Nodes_.end() && It->second.Node_ != View.Holder_ &&
+               It->second.Address_ == View.Address_;
+  return Ended ? Predecessor::Ended : Predecessor::MayRun;
+}
+
 bool isFree(const State &S, const SliceView &View) {
   if (View.Number_ == 0 || View.GivenUp_)
     return true;
   // A claim of this process without an answer is never used.
   if (View.Holder_ == S.Options_.Self_)
     return true;
-  // The holder's process has ended if its VM runs another one.
-  auto It = S.Nodes_.find(nodeName(View.Holder_));
-  if (It != S.Nodes_.end() && It->second.Node_ != View.Holder_)
-    return true;
-  return silence(S, View) > S.Options_.SilenceLimit_;
+  return predecessorOf(S, View) == Predecessor::Ended ||
+         silence(S, View) > S.Options_.SilenceLimit_;
 }
 
 Milliseconds claimDelay(const State &S, const SliceName &Slice) {
@@ -76,25 +84,30 @@
     }
     if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice))
       continue;
-    ClaimRecord R{S.Options_.Self_, View.Generation_ + 1};
-    bool Clean = View.Number_ == 0 || View.GivenUp_;
+    ClaimRecord R{S.Options_.Self_, View.Generation_ + 1, 0,
+                  S.Options_.Address_};
     Out.push_back({Write::Kind::Claim, Slice, makeClaim(Slice, R), End,
-                   R.Generation_, Clean});
+                   R.Generation_, predecessorOf(S, View), View.Number_});
     S.Claiming_.insert(Slice);
   }
 }
 
 void giveUpSlices(State &S, std::vector<Write> &Out) {
   for (const auto &[Slice, Own] : S.Owned_) {
-    ClaimRecord R{S.Options_.Self_, Own.Generation_, Own.Number_};
-    Out.push_back(
-        {Write::Kind::GiveUp, Slice, makeClaim(Slice, R), {}, 0, false});
+    ClaimRecord R{S.Options_.Self_, Own.Generation_, Own.Number_,
+                  S.Options_.Address_};
+    Out.push_back({Write::Kind::GiveUp, Slice, makeClaim(Slice, R), {}});
   }
   S.Owned_.clear();
 }
 
 } // namespace
 
+std::string_view toString(Predecessor P) {
+  static constexpr std::string_view Names[] = {"none", "ended", "may-run"};
+  return Names[std::size_t(P)];
+}
+
 void onRecord(State &S, const ledger::KeyedRecord &R, TimePoint Now) {
   std::string Name = R.Key_.empty() ? "" : nameOf(R.Key_);
   if (kindOf(R.Key_) == RecordKind::Claim) {
@@ -134,9 +147,14 @@
     View.FreeSince_ = Now;
     return;
   }
-  View =
-      SliceView{Reply.First_ + 1, S.Options_.Self_, W.Generation_, false, Now};
-  S.Owned_[W.Slice_] = Owned{View.Number_, W.Generation_, W.Clean_, SentAt};
+  View = SliceView{Reply.First_ + 1,
+                   S.Options_.Self_,
+                   S.Options_.Address_,
+                   W.Generation_,
+                   false,
+                   Now};
+  S.Owned_[W.Slice_] =
+      Owned{View.Number_, W.Generation_, W.Before_, W.Previous_, SentAt};
 }
 
 std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
@@ -153,18 +171,30 @@
   bool Due = S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval;
   if (Due && !S.BeatInFlight_) {
     NodeRecord R{O.Self_, O.Address_};
-    Out.push_back(
-        {Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), {}, 0, false});
+    Out.push_back({Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), {}});
     S.BeatInFlight_ = true;
     S.BeatSentAt_ = Now;
   }
   return Out;
 }
 
+TimePoint inheritedLeasesEnd(const Owned &Own, const ledger::Roster &Roster,
+                             Milliseconds Lease, Milliseconds SelfFence) {
+  // A predecessor that had not yet learnt where the tasks of the owners before
+  // it were says nothing about those owners.
+  bool Settled = Roster.Settled_ && Roster.Claim_ == Own.Previous_;
+  bool Alone = Own.Before_ != Predecessor::MayRun && Settled;
+  return Own.ClaimedAt_ + Lease + (Alone ? Milliseconds(0) : SelfFence);
+}
+
 void drop(State &S, const SliceName &Slice) { S.Owned_.erase(Slice); }
 
 bool mayOrder(const State &S, TimePoint Now) {
   return Now - S.CurrentAt_ < S.Options_.SelfFence_;
 }
 
+bool isStoreAway(const State &S, TimePoint Now) {
+  return Now - S.CurrentAt_ > S.Options_.AwayAfter_;
+}
+
 } // namespace pollenvale::ownership
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -79,7 +79,7 @@
   cr_assert_eq(C.owners().size(), 1u);
   std::size_t First = C.owners()[0];
   const Owned &Own = C.Entries_[First].Owned_.at("s");
-  cr_assert(Own.Clean_);
+  cr_assert(Own.Before_ == Predecessor::None);
   cr_assert_eq(Own.Generation_, 1u);
   C.run(Milliseconds(20'000));
   cr_assert_eq(C.owners().at(0), First);
@@ -96,7 +96,7 @@
   const Owned &Own = C.Entries_[C.owners()[0]].Owned_.at("s");
   cr_assert_gt(Own.Number_, Number);
   cr_assert_eq(Own.Generation_, 2u);
-  cr_assert_not(Own.Clean_);
+  cr_assert(Own.Before_ == Predecessor::MayRun);
 }
 
 Test(claims, silence_does_not_count_while_the_store_is_down) {
@@ -128,7 +128,7 @@
   C.run(Milliseconds(600));
   cr_assert_eq(C.owners().size(), 1u);
   const Owned &Own = C.Entries_[C.owners()[0]].Owned_.at("s");
-  cr_assert(Own.Clean_);
+  cr_assert(Own.Before_ == Predecessor::None);
   cr_assert(S.Owned_.empty());
 }
 
@@ -137,6 +137,7 @@
   C.run(Milliseconds(1'000));
   State Restarted;
   Restarted.Options_.Self_ = "n0.2";
+  Restarted.Options_.Address_ = C.Entries_[0].Options_.Address_;
   for (const ledger::KeyedRecord &R : C.Log_)
     onRecord(Restarted, R, C.Now_);
   C.Entries_[0] = Restarted;
@@ -162,7 +163,7 @@
   cr_assert(S.Owned_.empty());
   C.run(Milliseconds(1'000));
   cr_assert_eq(S.Owned_.size(), 1u);
-  cr_assert_not(S.Owned_.at("s").Clean_);
+  cr_assert(S.Owned_.at("s").Before_ == Predecessor::MayRun);
 }
 
 Test(claims, stored_heartbeats_do_not_let_an_owner_order_that_cannot_read) {
@@ -177,3 +178,56 @@
   }
   cr_assert_not(mayOrder(S, C.Now_));
 }
+
+Test(claims, the_predecessor_has_ended_if_its_vm_runs_another_process) {
+  Cell C(2);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  State Restarted;
+  Restarted.Options_ = C.Entries_[First].Options_;
+  Restarted.Options_.Self_ = nodeName(Restarted.Options_.Self_) + ".2";
+  for (const ledger::KeyedRecord &R : C.Log_)
+    onRecord(Restarted, R, C.Now_);
+  ClaimNumber Former = C.Entries_[First].Owned_.at("s").Number_;
+  C.Entries_[First] = Restarted;
+  C.run(Milliseconds(900));
+  const Owned &Own = C.Entries_[C.owners().at(0)].Owned_.at("s");
+  cr_assert(Own.Before_ == Predecessor::Ended);
+  cr_assert_eq(Own.Previous_, Former);
+}
+
+Test(claims, a_replacement_of_the_same_name_proves_no_end) {
+  // The former VM may still run beside the one at the new address.
+  Cell C(2);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  NodeRecord Other{nodeName(C.Entries_[First].Options_.Self_) + ".2", "new:1"};
+  C.Silent_.insert(First);
+  ledger::KeyedRecord R = makeNode(nodeName(Other.Node_), Other);
+  R.Offset_ = C.Log_.size();
+  C.Log_.push_back(R);
+  C.deliver(R);
+  C.run(Milliseconds(3'500));
+  const Owned &Own = C.Entries_[C.owners().at(0)].Owned_.at("s");
+  cr_assert(Own.Before_ == Predecessor::MayRun);
+}
+
+Test(claims, the_wait_for_inherited_leases_counts_owners_before_the_last) {
+  constexpr Milliseconds Lease{5'400}, SelfFence{4'000};
+  TimePoint Claimed{std::chrono::seconds(50)};
+  Owned Own{9, 3, Predecessor::Ended, 7, Claimed};
+  ledger::Roster Settled{{"w"}, 7, true};
+  cr_assert(inheritedLeasesEnd(Own, Settled, Lease, SelfFence) ==
+            Claimed + Lease);
+  // The last owner had not found out what its predecessor left running.
+  ledger::Roster Open{{"w"}, 7, false};
+  cr_assert(inheritedLeasesEnd(Own, Open, Lease, SelfFence) ==
+            Claimed + Lease + SelfFence);
+  // The last owner has written no roster at all.
+  ledger::Roster Older{{"w"}, 3, true};
+  cr_assert(inheritedLeasesEnd(Own, Older, Lease, SelfFence) ==
+            Claimed + Lease + SelfFence);
+  Own.Before_ = Predecessor::MayRun;
+  cr_assert(inheritedLeasesEnd(Own, Settled, Lease, SelfFence) ==
+            Claimed + Lease + SelfFence);
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -61,8 +61,12 @@
   TimePoint DoneAt_{};
   std::map<WorkerId, Permit> Permits_; ///< Workers that the policy allows.
   std::set<WorkerId> Denied_;
+  TimePoint DeniedRecheckAt_{}; ///< When a step that none may run is reviewed.
   bool AdviceInFlight_ = false;
   TimePoint AdviceNotBefore_{};
+  std::uint32_t AdviceCalls_ = 0;
+  TimePoint AdviceAskedAt_{};    ///< First call to the policy.
+  TimePoint AdviceAnsweredAt_{}; ///< First answer of the policy.
   std::string GangCheckpoint_;
 };
 
@@ -89,7 +93,10 @@
   WorkerInfo Info_;
   bool Listed_ = true;    ///< The registry names it.
   bool Rostered_ = false; ///< A stored roster names it.
-  bool Known_ = false;    ///< It has told what runs, under this owner's token.
+  /// Draining and empty: it gets no lease and is left out of the roster, so
+  /// that no later owner waits for it.
+  bool Released_ = false;
+  bool Known_ = false; ///< It has told what runs, under this owner's token.
   std::int64_t Incarnation_ =
       0; ///< Start of the incarnation that Known_ is about.
   std::set<TaskId> Tasks_;
@@ -117,7 +124,11 @@
   TimePoint ClaimedAt_{};
   /// When no lease given by an earlier owner can last any longer.
   TimePoint InheritedLeasesEndAt_{};
-  Milliseconds Lease_{5'000};
+  /// Short, so that tasks of a silent worker start elsewhere soon.
+  Milliseconds Lease_{3'400};
+  /// While the owner can't read the store: tasks outlast the time in which it
+  /// may give no order.
+  Milliseconds OutageLease_{5'000};
   Milliseconds MaxLease_{10'000}; ///< The workers cut longer ones down.
   Milliseconds StartDeadline_{2'500};
   Milliseconds KeepClosed_{180'000}; ///< How long closed jobs stay known.
@@ -168,7 +179,9 @@
   bool AcksDirty_ = false;
   bool PlaceWanted_ = false; ///< Something changed since the last placement.
   TimePoint PlaceNotBefore_{};
+  TimePoint ExplainDueAt_{};
   TimePoint LossyUntil_{}; ///< Workers' answers got lost a moment ago.
+  bool StoreAway_ = false; ///< The owner can't read the store at present.
   bool Fenced_ = false;    ///< A worker has seen a higher token.
   TimePoint LastTick_{};
   Counters Counters_;
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -72,6 +72,8 @@
 void planWrites(State &S, TimePoint Now, Outbox &Out);
 /// Starts waiting tasks and asks for permits they need.
 void placeTasks(State &S, TimePoint Now, Outbox &Out);
+/// Notes what steps that wait for long wait for.
+void explainWaiting(State &S, TimePoint Now, Outbox &Out);
 void adjustThrottle(State &S, Worker &W, const RenewReply &Reply, Outbox &Out);
 
 } // namespace pollenvale::scheduler::detail
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// A start without an answer is sent this often before it is stopped instead.
-constexpr unsigned MaxStartSends = 3;
-constexpr Milliseconds StopRetryInterval{400};
+constexpr unsigned MaxStartSends = 6;
+constexpr Milliseconds StopRetryInterval{200};
 /// A worker that refuses a start is left alone for this long.
 constexpr Milliseconds RefusalPause{1'000};
 constexpr Milliseconds TaskRetryPause{50};
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -15,10 +15,12 @@
 /// A worker asked once in this time keeps its lease and tells its clock.
 constexpr Milliseconds IdleRenewInterval{1'500};
 /// How long a worker with tasks may keep a renewal waiting for an end.
-constexpr Milliseconds BusyRenewWait{1'000};
+constexpr Milliseconds BusyRenewWait{500};
 /// The same while answers get lost: each lost one hides ends for that long.
-constexpr Milliseconds LossyRenewWait{200};
+constexpr Milliseconds LossyRenewWait{120};
 constexpr Milliseconds LossyTime{4'000};
+/// Limit of a call while answers get lost: every call may be repeated.
+constexpr Milliseconds LossyTimeout{130};
 constexpr Milliseconds RenewSpacing{10};
 constexpr Milliseconds RenewRetryInterval{200};
 /// Limit for storing ends before the worker is asked again.
@@ -35,7 +37,10 @@
 }
 
 Target targetOf(const State &S, const Worker &W) {
-  return {W.Info_.Id_, W.Info_.Address_, S.Options_.Token_};
+  Target To{W.Info_.Id_, W.Info_.Address_, S.Options_.Token_};
+  if (S.LastTick_ < S.LossyUntil_)
+    To.Timeout_ = LossyTimeout;
+  return To;
 }
 
 Resources freeRoom(const Worker &W) {
@@ -58,14 +63,17 @@
 
 void planRenewals(State &S, TimePoint Now, Outbox &Out) {
   for (auto &[Id, W] : S.Workers_) {
-    if (W.RenewInFlight_ || Now < W.RenewDueAt_ || !W.Rostered_)
+    if (W.RenewInFlight_ || Now < W.RenewDueAt_ ||
+        !(W.Rostered_ || W.Released_))
       continue;
     RenewCall Call{targetOf(S, W), W.StoredEnd_};
     // A worker that does not answer may be gone: its tasks start elsewhere
     // once no lease can last, so no further one is given.
-    if (W.Known_ && W.Misses_ == 0) {
-      Call.LeaseUntil_ = clockOf(W, Now) + S.Options_.Lease_;
-      extendLease(S, W, S.Options_.Lease_, Now);
+    if (W.Known_ && W.Misses_ == 0 && W.Rostered_) {
+      Milliseconds Lease =
+          S.StoreAway_ ? S.Options_.OutageLease_ : S.Options_.Lease_;
+      Call.LeaseUntil_ = clockOf(W, Now) + Lease;
+      extendLease(S, W, Lease, Now);
       if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
         Call.Wait_ = Now < S.LossyUntil_ ? LossyRenewWait : BusyRenewWait;
     }
@@ -75,10 +83,26 @@
   }
 }
 
+namespace {
+
+void releaseEmpty(State &S, Worker &W) {
+  bool Empty = W.Tasks_.empty() && W.Unclaimed_ == Resources{};
+  bool Release = W.Info_.Draining_ && W.Known_ && Empty &&
+                 !S.Unaccounted_.count(W.Info_.Id_);
+  if (Release == W.Released_)
+    return;
+  W.Released_ = Release;
+  W.Rostered_ = false;
+  S.RosterDirty_ = true;
+}
+
+} // namespace
+
 void checkLeases(State &S, TimePoint Now, Outbox &Out) {
   for (auto It = S.Workers_.begin(); It != S.Workers_.end();) {
     Worker &W = It->second;
-    bool Lapsed = Now > W.LeaseEndsAt_;
+    releaseEmpty(S, W);
+    bool Lapsed = Now > W.LeaseEndsAt_ || W.Released_;
     if (Lapsed && W.Misses_ > 0)
       loseTasks(S, W, Now, Out, "lease");
     if (Lapsed && !W.Listed_ && W.Tasks_.empty() && !W.RenewInFlight_ &&
@@ -99,6 +123,7 @@
   if (!S.Unaccounted_.empty())
     return;
   S.InheritanceOpen_ = false;
+  S.RosterDirty_ = true;
   S.PlaceWanted_ = true;
   Out.Notes_.push_back(
       {"inheritance-settled",
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -64,8 +64,11 @@
 ledger::KeyedRecord rosterRecord(const State &S) {
   std::set<WorkerId> All = S.Unaccounted_;
   for (const auto &[Id, W] : S.Workers_)
-    All.insert(Id);
-  return ledger::makeRoster({{All.begin(), All.end()}});
+    if (!W.Released_)
+      All.insert(Id);
+  return ledger::makeRoster(
+      S.Options_.Slice_,
+      {{All.begin(), All.end()}, S.Options_.Token_, !S.InheritanceOpen_});
 }
 
 } // namespace
@@ -79,7 +82,8 @@
     S.RosterDirty_ = false;
     Call.Records_.push_back(rosterRecord(S));
     for (const auto &[Id, W] : S.Workers_)
-      Pending.Roster_.push_back(Id);
+      if (!W.Released_)
+        Pending.Roster_.push_back(Id);
     Pending.HasRoster_ = true;
   }
   while (!S.Dirty_.empty() && Call.Records_.size() < MaxRecordsPerWrite) {
@@ -130,7 +134,7 @@
     S.Jobs_.erase(Job);
   for (const WorkerId &W : Pending.Roster_) {
     auto It = S.Workers_.find(W);
-    if (It == S.Workers_.end() || It->second.Rostered_)
+    if (It == S.Workers_.end() || It->second.Rostered_ || It->second.Released_)
       continue;
     It->second.Rostered_ = true;
     It->second.RenewDueAt_ = Now;
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -55,6 +55,59 @@
   cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
 }
 
+Test(takeover, an_empty_worker_that_has_left_is_not_waited_for) {
+  // The pattern: workers are taken away, and all entries restart right after.
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(12)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  C.run(Milliseconds(200));
+  C.drain("c");
+  C.run(Milliseconds(300));
+  C.leave("c");
+  C.submit("j2", plainJob({plainStep(12)}));
+  C.killOwner();
+  C.run(Milliseconds(1'500));
+  C.takeOver(ownership::Predecessor::Ended);
+  cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; },
+                       Milliseconds(2'000)));
+}
+
+Test(takeover, a_worker_that_left_with_tasks_holds_them_for_one_lease) {
+  FleetCell C({"a", "b", "c"});
+  C.setRunTime(Milliseconds(20'000));
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(24)}));
+  C.run(Milliseconds(1'000));
+  C.drain("c");
+  C.run(Milliseconds(300));
+  C.leave("c");
+  C.killOwner();
+  C.run(Milliseconds(1'000));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.run(Milliseconds(5'000));
+  cr_assert_eq(C.Starts_.size(), 24u);
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(100)};
+  };
+  C.run(Milliseconds(21'000));
+  cr_assert_gt(C.Starts_.size(), 24u);
+  cr_assert(C.Broken_.empty());
+}
+
+Test(takeover, a_worker_that_stays_after_all_takes_tasks_again) {
+  FleetCell C({"a"});
+  C.takeOver();
+  C.run(Milliseconds(500));
+  C.drain("a");
+  C.run(Milliseconds(500));
+  C.worker("a").Info_.Draining_ = false;
+  scheduler::onWorker(C.owner().State_, C.worker("a").Info_, C.Now_);
+  C.submit("j1", plainJob({plainStep(3)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
+                       Milliseconds(2'000)));
+}
+
 Test(takeover, a_cut_off_owner_and_its_worker_stay_apart_from_the_new_one) {
   // Only the former owner reaches the worker, and neither reaches the store.
   FleetCell C({"a", "b", "c"});
@@ -75,7 +128,7 @@
   C.submit("j1", plainJob({plainStep(30)}));
   C.run(Milliseconds(300));
   C.killOwner();
-  C.takeOver(true);
+  C.takeOver(ownership::Predecessor::None);
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
                        Milliseconds(4'000)));
 }
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -15,7 +15,6 @@
 constexpr Milliseconds AppendTime{6};
 /// An owner without the store stops its orders after this time.
 constexpr Milliseconds SelfFence{4'000};
-constexpr Milliseconds Lease{5'000};
 
 } // namespace
 
@@ -80,8 +79,24 @@
 
 void FleetCell::killOwner() { owner().Alive_ = false; }
 
-Owner &FleetCell::takeOver(bool Clean) {
+void FleetCell::drain(const WorkerId &Id) {
+  FakeWorker &W = Workers_.at(Id);
+  W.Info_.Draining_ = true;
+  for (auto &O : Owners_)
+    scheduler::onWorker(O->State_, W.Info_, Now_);
+}
+
+void FleetCell::leave(const WorkerId &Id) {
+  FakeWorker &W = Workers_.at(Id);
+  W.Alive_ = false;
+  W.Runs_.clear();
+  for (auto &O : Owners_)
+    scheduler::onWorkerGone(O->State_, Id, Now_);
+}
+
+Owner &FleetCell::takeOver(ownership::Predecessor Before) {
   auto O = std::make_unique<Owner>();
+  Token Previous = Epoch_;
   O->Token_ = Epoch_ = Store_.size() + 1 + Epoch_;
   O->StoreContactAt_ = Now_;
   auto Fence = ledger::makeFence("s", O->Token_);
@@ -94,13 +109,14 @@
   Opt.Token_ = O->Token_;
   Opt.Generation_ = std::uint32_t(Owners_.size() + 1);
   Opt.ClaimedAt_ = Now_;
-  Opt.Lease_ = Lease;
-  Opt.InheritedLeasesEndAt_ =
-      Now_ + Lease + Milliseconds(400) +
-      (Clean ? Milliseconds(0) : Milliseconds(SelfFence));
-  O->State_ = scheduler::makeState(Opt, Catalog_, O->Copy_.Roster_);
+  ownership::Owned Claim{O->Token_, Opt.Generation_, Before, Previous, Now_};
+  Opt.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
+      Claim, O->Copy_.Rosters_["s"], Opt.OutageLease_ + Milliseconds(400),
+      SelfFence);
+  O->State_ = scheduler::makeState(Opt, Catalog_, O->Copy_.Rosters_["s"]);
   for (const auto &[Id, W] : Workers_)
-    scheduler::onWorker(O->State_, W.Info_, Now_);
+    if (W.Alive_)
+      scheduler::onWorker(O->State_, W.Info_, Now_);
   for (const auto &[Id, Row] : O->Copy_.Jobs_)
     scheduler::onJob(O->State_, Id, Row, true, Now_, 0);
   Owners_.push_back(std::move(O));
@@ -200,6 +216,7 @@
   readStore(O);
   if (Now_ - O.StoreContactAt_ >= SelfFence)
     return;
+  O.State_.StoreAway_ = Now_ - O.StoreContactAt_ > Milliseconds(1'300);
   scheduler::Outbox Out;
   if (O.Rewrite_) {
     scheduler::WriteCall C = *O.Rewrite_;
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -6,6 +6,7 @@
 
 #include "fleet/fake_worker.hpp"
 #include "ledger/ledger.hpp"
+#include "ownership/ownership.hpp"
 
 #include <functional>
 #include <memory>
@@ -54,9 +55,14 @@
   void submitTo(const std::string &Queue, const JobId &Job,
                 workflow::WorkflowSpec Spec);
   void cancel(const JobId &Job);
-  /// A new owner claims the slice. \p Clean: the former gave it up.
-  Owner &takeOver(bool Clean = false);
+  /// A new owner claims the slice.
+  Owner &
+  takeOver(ownership::Predecessor Before = ownership::Predecessor::MayRun);
   void killOwner();
+  /// The worker says that it will leave.
+  void drain(const WorkerId &Id);
+  /// It ends with all that runs on it, and the registry drops it.
+  void leave(const WorkerId &Id);
   /// Every run takes this long and is done.
   void setRunTime(Milliseconds Length) {
     FateOf_ = [Length](const TaskId &, std::uint32_t) { return Fate{Length}; };
--- a/tests/fleet/run-fleet-schedules.cpp
+++ b/tests/fleet/run-fleet-schedules.cpp
@@ -41,13 +41,13 @@
   Random &R = C.Random_;
   auto Any = std::next(C.Workers_.begin(), std::int64_t(R.below(Workers)));
   FakeWorker &W = Any->second;
-  std::uint64_t Kind = R.below(9);
+  std::uint64_t Kind = R.below(10);
   C.note("strike " + std::to_string(Kind) + " " + Any->first);
   switch (Kind) {
   case 0:
     C.killOwner();
     C.run(Milliseconds(R.below(3'000)));
-    C.takeOver();
+    C.takeOver(ownership::Predecessor::Ended);
     break;
   case 1:
     C.owner().CutFromStore_ = true;
@@ -80,6 +80,14 @@
   case 8:
     C.Failures_.LostAppend_ = double(R.below(40)) / 100;
     break;
+  case 9:
+    if (!W.Alive_)
+      break;
+    C.drain(Any->first);
+    C.run(Milliseconds(R.below(3'000)));
+    C.leave(Any->first);
+    C.addWorker("x" + std::to_string(++Born));
+    break;
   }
 }
 
