Steps that wait for long are explained; a step denied everywhere is asked about again

Change: step-waits (at most 4 lines each 4 s, the rest counted) tells size, and how many workers could take a task, are denied, allowed, free. job-closed tells when the policy was first asked and first answered, and how often. A step that no worker may run is asked about again each 4 s once it has no candidate left.

--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -219,10 +219,28 @@
   if (Spec.LongRunning_)
     reserveNamed(S, Call, workflow::chargedSize(Spec), Now);
   P.AdviceInFlight_ = true;
+  ++P.AdviceCalls_;
+  if (P.AdviceAskedAt_ == TimePoint{})
+    P.AdviceAskedAt_ = Now;
   count(S.Counters_, "advice-asked");
   Out.Advice_.push_back(std::move(Call));
 }
 
+/// A step that no worker may run would wait for ever: the policy is asked anew
+/// now and then.
+void askAgainIfAllDenied(State &S, const StepId &Id, TimePoint Now) {
+  constexpr Milliseconds Interval{4'000};
+  Step &P = *findStep(S, Id);
+  if (P.Denied_.empty() || !P.Permits_.empty() || P.AdviceInFlight_ ||
+      Now < P.DeniedRecheckAt_)
+    return;
+  if (P.DeniedRecheckAt_ != TimePoint{}) {
+    count(S.Counters_, "advice-all-denied");
+    P.Denied_.clear();
+  }
+  P.DeniedRecheckAt_ = Now + Interval;
+}
+
 void placeStep(State &S, const StepId &Id, TimePoint Now, Outbox &Out) {
   const workflow::StepSpec &Spec = *findSpec(S, Id);
   Step &P = *findStep(S, Id);
@@ -231,6 +249,7 @@
     return;
   std::vector<Candidate> All = candidates(S, Id, Now);
   if (All.empty()) {
+    askAgainIfAllDenied(S, Id, Now);
     if (Spec.LongRunning_)
       reserveLargest(S, Id, Now);
     return;
@@ -281,6 +300,8 @@
     P->AdviceNotBefore_ = Now + RetryInterval;
     return;
   }
+  if (P->AdviceAnsweredAt_ == TimePoint{})
+    P->AdviceAnsweredAt_ = Now;
   const Job &J = S.Jobs_.at(Call.Step_.Job_);
   Milliseconds Validity = Reply.Validity_;
   if (Validity.count() == 0 && J.Queue_.Advice_)
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -26,6 +26,9 @@
     Failed += T.FailedRuns_.size();
   return {{"tasks", P.Tasks_.size()},
           {"ready", Since(P.ReadyAt_)},
+          {"advice_calls", P.AdviceCalls_},
+          {"advice_asked", Since(P.AdviceAskedAt_)},
+          {"advice_answered", Since(P.AdviceAnsweredAt_)},
           {"first_start", Since(P.FirstStartAt_)},
           {"last_start", Since(P.LastStartAt_)},
           {"done", Since(P.DoneAt_)},
@@ -68,6 +71,7 @@
   detail::placeTasks(S, Now, Out);
   detail::planRenewals(S, Now, Out);
   detail::planWrites(S, Now, Out);
+  detail::explainWaiting(S, Now, Out);
   noteClosed(S, Out);
 }
 
--- /dev/null
+++ b/packages/scheduler/src/waiting.cpp
@@ -0,0 +1,82 @@
+#include "scheduler/detail/tasks.hpp"
+#include "scheduler/scheduler.hpp"
+
+namespace pollenvale::scheduler::detail {
+
+namespace {
+
+/// A step that waits longer than this is explained.
+constexpr Milliseconds LongWait{4'000};
+constexpr Milliseconds ExplainInterval{4'000};
+constexpr unsigned MaxLinesPerPass = 4;
+
+/// Why the workers of the service don't take a task of the step.
+struct WorkerTally {
+  unsigned Usable_ = 0;  ///< They take tasks and could ever take one of these.
+  unsigned Denied_ = 0;  ///< Of these, the policy forbids it.
+  unsigned Allowed_ = 0; ///< Of these, the policy has allowed it.
+  unsigned Free_ = 0;    ///< Not denied, with room for one now.
+};
+
+WorkerTally tally(const State &S, const Job &J, const Step &P,
+                  const workflow::StepSpec &Spec, TimePoint Now) {
+  WorkerTally Out;
+  Resources Size = workflow::chargedSize(Spec);
+  for (const auto &[Name, W] : S.Workers_) {
+    bool Suits = takesTasks(W, Now) && W.Info_.Service_ == J.Queue_.Service_ &&
+                 fits(Size, W.Info_.Capacity_) &&
+                 (Spec.RequiredLabel_.empty() ||
+                  W.Info_.Labels_.count(Spec.RequiredLabel_));
+    if (!Suits)
+      continue;
+    bool Denied = P.Denied_.count(Name) > 0;
+    ++Out.Usable_;
+    Out.Denied_ += Denied;
+    Out.Allowed_ += P.Permits_.count(Name) > 0;
+    Out.Free_ += !Denied && fits(Size, freeRoom(W));
+  }
+  return Out;
+}
+
+} // namespace
+
+void explainWaiting(State &S, TimePoint Now, Outbox &Out) {
+  if (Now < S.ExplainDueAt_)
+    return;
+  S.ExplainDueAt_ = Now + ExplainInterval;
+  unsigned Lines = 0, Omitted = 0;
+  for (const StepId &Id : S.Waiting_) {
+    const Job &J = S.Jobs_.at(Id.Job_);
+    const Step &P = *findStep(S, Id);
+    if (Now - P.ReadyAt_ < LongWait)
+      continue;
+    if (++Lines > MaxLinesPerPass) {
+      ++Omitted;
+      continue;
+    }
+    const workflow::StepSpec &Spec = *findSpec(S, Id);
+    WorkerTally T = tally(S, J, P, Spec, Now);
+    Out.Notes_.push_back(
+        {"step-waits",
+         {{"step", workflow::toString(Id)},
+          {"queue", J.Queue_.Name_},
+          {"waits_ms", elapsed(P.ReadyAt_, Now).count()},
+          {"tasks_left", P.Tasks_.size() - P.DoneCount_ - P.RunCount_},
+          {"gang", Spec.Gang_},
+          {"cpu", Spec.Size_.Cpu_},
+          {"memory_mb", Spec.Size_.Memory_},
+          {"accelerators", Spec.Size_.Accelerators_},
+          {"label", Spec.RequiredLabel_},
+          {"max_per_worker", Spec.MaxPerWorker_},
+          {"workers_usable", T.Usable_},
+          {"workers_denied", T.Denied_},
+          {"workers_allowed", T.Allowed_},
+          {"workers_free", T.Free_},
+          {"inherited_unclear", J.Inherited_ && S.InheritanceOpen_},
+          {"advice_in_flight", P.AdviceInFlight_}}});
+  }
+  if (Omitted > 0)
+    Out.Notes_.push_back({"steps-wait", {{"omitted", Omitted}}});
+}
+
+} // namespace pollenvale::scheduler::detail
