Calls to the store by way of a peer while the store turns an entry away

Change: package relay. A call that the store refuses is made again by another entry over nng; one that the store keeps waiting 600 ms beside it, unless it is conditional. "Not done" is said only if no way may have done it. Ways are judged by partition, since an outage may hit some only. A peer helps only while the store has answered it within 1.3 s; without such a peer the direct way is taken. Peers that don't answer are dialled anew from both sides: an nng connection may be dead without a sign (this covers advice too).

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -8,6 +8,7 @@
 #include "fleet/worker_registry.hpp"
 #include "observe/observe.hpp"
 #include "process.hpp"
+#include "relay/relay.hpp"
 
 #include <asio.hpp>
 #include <csignal>
@@ -42,7 +43,7 @@
     Claims_.Options_.Self_ = makeIncarnation(Boot_.NodeName_);
     Claims_.Options_.Address_ =
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
-    Intake_.Store_ = &Client_;
+    Intake_.Store_ = &Store_;
     Intake_.Clock_ = now;
   }
 
@@ -63,6 +64,20 @@
   }
 
 private:
+  relay::RelayPorts makePorts() {
+    relay::RelayPorts P;
+    P.Direct_ = &Client_;
+    P.Self_ = Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
+    P.Clock_ = now;
+    P.Send_ = [this](const std::string &Address, const std::string &Bytes) {
+      return Peers_.send(Address, FrameKind::Store, Bytes);
+    };
+    P.Suspect_ = [this](const std::string &Address) {
+      Peers_.suspect(Address);
+    };
+    return P;
+  }
+
   void openSockets() {
     auto Listen = [this](const HostAndPort &A, http::Handler Handle) {
       return http::startServer(Io_, {A.Host_, A.Port_, 1}, std::move(Handle));
@@ -77,7 +92,12 @@
         [this](const http::ServerRequest &R, const http::Responder &Respond) {
           Service_.serve(R, Respond, copiesLoaded());
         });
-    Policy_.open(Claims_.Options_.Address_);
+    const std::string &Self = Claims_.Options_.Address_;
+    Peers_.open(Self);
+    Policy_.open(Self);
+    Peers_.subscribe(FrameKind::Store, [this](const std::string &Bytes) {
+      Store_.onMessage(relay::decode(Bytes));
+    });
   }
 
   // --- following the store -------------------------------------------------
@@ -86,7 +106,7 @@
                                    ledger::TailOptions Options,
                                    FollowerEvents Events) {
     Tail.Options_ = std::move(Options);
-    auto F = std::make_shared<Follower>(Client_, Tail, std::move(Events));
+    auto F = std::make_shared<Follower>(Store_, Tail, std::move(Events));
     F->poll();
     return F;
   }
@@ -185,11 +205,11 @@
     Call.Records_ = {W.Record_};
     Call.ExpectedEnd_ = W.ExpectedEnd_;
     TimePoint SentAt = now();
-    Client_.append(std::move(Call),
-                   [this, W, SentAt](const ledger::AppendReply &R) {
-                     ownership::onWritten(Claims_, W, R, SentAt, now());
-                     wake();
-                   });
+    Store_.append(std::move(Call),
+                  [this, W, SentAt](const ledger::AppendReply &R) {
+                    ownership::onWritten(Claims_, W, R, SentAt, now());
+                    wake();
+                  });
   }
 
   /// Starts owners of new claims and ends those of lost ones.
@@ -237,6 +257,7 @@
     followPartition(Partition);
     SliceContext Context;
     Context.Client_ = &Client_;
+    Context.Store_ = &Store_;
     Context.Catalog_ = &Catalog_;
     Context.Registry_ = &Registry_;
     Context.Partition_ = &Intake_.Partitions_.at(Partition);
@@ -267,7 +288,8 @@
 
   std::string metrics() const {
     Counters All = Counters_;
-    for (const Counters *Part : {&Client_.Counters_, &Intake_.Counters_})
+    for (const Counters *Part :
+         {&Client_.Counters_, &Intake_.Counters_, &Store_.Counters_})
       All.insert(Part->begin(), Part->end());
     for (const auto &[Slice, Owner] : Owners_)
       for (const auto &[Name, Value] : Owner->counters())
@@ -297,11 +319,28 @@
     });
   }
 
+  /// Other entries, as far as their heartbeats are known.
+  void tellPeers() {
+    std::vector<std::string> Addresses;
+    for (const auto &[Name, Node] : Claims_.Nodes_)
+      if (Node.Address_ != Claims_.Options_.Address_ && !Node.Address_.empty())
+        Addresses.push_back(Node.Address_);
+    relay::setPeers(Store_.Router_, std::move(Addresses));
+  }
+
+  /// A part of the store that a new owner would need can't be read.
+  bool isStoreAway(std::uint32_t Partition) const {
+    for (const ledger::Tail *T :
+         {&ConfigTail_, &ClaimTail_, &Intake_.Partitions_.at(Partition).Tail_})
+      if (ledger::isStale(*T, now()))
+        return true;
+    return false;
+  }
+
   void turn() {
     bool MayOrder = ownership::mayOrder(Claims_, now());
-    bool StoreAway = ownership::isStoreAway(Claims_, now());
     for (auto &[Slice, Owner] : Owners_)
-      Owner->turn(MayOrder, StoreAway);
+      Owner->turn(MayOrder, isStoreAway(intake::partitionOf(Slice)));
     Policy_.turn(Claims_);
   }
 
@@ -311,6 +350,8 @@
       if (Err)
         return;
       tickClaims();
+      tellPeers();
+      Store_.tick();
       intake::tick(Intake_, now());
       for (auto &F : {Config_, ClaimFollower_})
         F->poll();
@@ -379,13 +420,15 @@
   std::unique_ptr<http::Server> Callers_;
 
   Counters Counters_;
+  PeerChannel Peers_{Io_, Counters_};
+  relay::RelayStore Store_{makePorts()};
   workflow::Catalog Catalog_;
   bool HasCatalog_ = false;
   ledger::Tail ConfigTail_, ClaimTail_;
   std::shared_ptr<Follower> Config_, ClaimFollower_;
   std::map<std::uint32_t, std::shared_ptr<Follower>> Partitions_;
   intake::Intake Intake_;
-  PolicyCalls Policy_{Io_, Client_, Counters_,
+  PolicyCalls Policy_{Peers_, Client_, Counters_,
                       [this](const scheduler::AdviceCall &Call,
                              const scheduler::AdviceReply &Reply) {
                         for (auto &[Slice, Owner] : Owners_)
@@ -393,7 +436,7 @@
                         wake();
                       }};
   CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
-  WorkerRegistry Registry_{Client_,
+  WorkerRegistry Registry_{Store_,
                            Counters_,
                            {[this](const scheduler::WorkerInfo &Info) {
                               for (auto &[Slice, Owner] : Owners_)
--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -19,9 +19,8 @@
                   [Self](const ledger::NewestReply &R) { Self->onNewest(R); });
     return;
   }
-  ledger::ReadCall Call{Tail_.Options_.From_, Tail_.Next_,
-                        Tail_.Options_.Wait_};
-  Store_.read(Call, [Self](const ledger::ReadReply &R) { Self->onRead(R); });
+  Store_.read(ledger::nextRead(Tail_),
+              [Self](const ledger::ReadReply &R) { Self->onRead(R); });
 }
 
 void Follower::onNewest(const ledger::NewestReply &Reply) {
--- a/apps/pollenvale/fleet/policy_calls.cpp
+++ b/apps/pollenvale/fleet/policy_calls.cpp
@@ -2,15 +2,12 @@
 
 #include "fleet/clock.hpp"
 
-#include <asio/post.hpp>
-
 namespace pollenvale::fleet {
 
-void PolicyCalls::open(const std::string &Address) {
-  Pool_ = advice::makePool(Address);
-  Peers_ = peernet::openPeerSocket(Address, [this](std::string Bytes) {
-    asio::post(Io_, [this, Bytes = std::move(Bytes)] { onPeer(Bytes); });
-  });
+void PolicyCalls::open(const std::string &Self) {
+  Pool_ = advice::makePool(Self);
+  Peers_.subscribe(FrameKind::Advice,
+                   [this](const std::string &Bytes) { onPeer(Bytes); });
 }
 
 void PolicyCalls::ask(scheduler::AdviceCall Call) {
@@ -23,8 +20,11 @@
     if (Node.Address_ != Pool_.Self_ && !Node.Address_.empty())
       Peers.push_back(Node.Address_);
   advice::setPeers(Pool_, Peers);
-  for (const scheduler::AdviceCall &Call : advice::expire(Pool_, now()))
-    Deliver_(Call, {});
+  for (const advice::Expired &X : advice::expire(Pool_, now())) {
+    if (!X.Helper_.empty() && X.Helper_ != Pool_.Self_)
+      Peers_.suspect(X.Helper_);
+    Deliver_(X.Call_, {});
+  }
   for (const advice::Dispatch &D : advice::dispatch(Pool_, now()))
     send(D);
 }
@@ -39,8 +39,7 @@
     return;
   }
   advice::AskMessage M{D.Id_, Pool_.Self_, Step, D.Call_.Workers_};
-  if (!Peers_->send(D.Helper_, advice::encode(M)))
-    count(Counters_, "peer-frame-dropped");
+  Peers_.send(D.Helper_, FrameKind::Advice, advice::encode(M));
 }
 
 void PolicyCalls::askPolicy(const std::string &Step,
@@ -78,8 +77,7 @@
             Id, R.Answered_, {}, std::uint32_t(R.Validity_.count())};
         for (const scheduler::PermitRow &Row : R.Rows_)
           M.Rows_.push_back({Row.Worker_, Row.Permit_});
-        if (!Peers_->send(To, advice::encode(M)))
-          count(Counters_, "peer-frame-dropped");
+        Peers_.send(To, FrameKind::Advice, advice::encode(M));
       });
 }
 
--- a/apps/pollenvale/fleet/policy_calls.hpp
+++ b/apps/pollenvale/fleet/policy_calls.hpp
@@ -3,12 +3,10 @@
 #pragma once
 
 #include "advice/advice.hpp"
+#include "fleet/peer_channel.hpp"
 #include "ownership/ownership.hpp"
-#include "peernet/peernet.hpp"
 #include "platform/adapter.hpp"
 
-#include <asio/io_context.hpp>
-
 namespace pollenvale::fleet {
 
 using OnAdvice = std::function<void(const scheduler::AdviceCall &,
@@ -16,13 +14,13 @@
 
 class PolicyCalls {
 public:
-  PolicyCalls(asio::io_context &Io, platform::Client &Client, Counters &Counts,
+  PolicyCalls(PeerChannel &Peers, platform::Client &Client, Counters &Counts,
               OnAdvice Deliver)
-      : Io_(Io), Client_(Client), Counters_(Counts),
+      : Peers_(Peers), Client_(Client), Counters_(Counts),
         Deliver_(std::move(Deliver)) {}
 
-  /// Listens for other entries on \p Address.
-  void open(const std::string &Address);
+  /// \p Self: peer address of this entry.
+  void open(const std::string &Self);
   void ask(scheduler::AdviceCall Call);
   /// Sends what may be sent now to the entries that \p Claims names.
   void turn(const ownership::State &Claims);
@@ -35,12 +33,11 @@
   void onPeer(const std::string &Bytes);
   void answerPeer(const advice::AskMessage &Ask);
 
-  asio::io_context &Io_;
+  PeerChannel &Peers_;
   platform::Client &Client_;
   Counters &Counters_;
   OnAdvice Deliver_;
   advice::Pool Pool_;
-  std::unique_ptr<peernet::PeerSocket> Peers_;
 };
 
 } // namespace pollenvale::fleet
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -39,8 +39,8 @@
   Call.To_ = {intake::JobTopic, Partition_};
   Call.Fence_ = ledger::Fence{Slice_, Claim_.Number_, 0};
   Call.Records_ = {ledger::makeFence(Slice_, Claim_.Number_)};
-  Context_.Client_->append(std::move(Call), [Self = shared_from_this()](
-                                                const ledger::AppendReply &R) {
+  Context_.Store_->append(std::move(Call), [Self = shared_from_this()](
+                                               const ledger::AppendReply &R) {
     Self->FenceInFlight_ = false;
     if (Self->Stage_ != Stage::Fencing)
       return;
@@ -237,12 +237,11 @@
   Append.To_ = {intake::JobTopic, Partition_};
   Append.Records_ = Call->Records_;
   Append.Fence_ = ledger::Fence{Slice_, Claim_.Number_, NextSequence_};
-  Context_.Client_->append(
-      std::move(Append),
-      [Self = shared_from_this(), Call](const ledger::AppendReply &R) {
-        if (Self->Stage_ == Stage::Running)
-          Self->onWritten(Call, R);
-      });
+  Context_.Store_->append(std::move(Append), [Self = shared_from_this(), Call](
+                                                 const ledger::AppendReply &R) {
+    if (Self->Stage_ == Stage::Running)
+      Self->onWritten(Call, R);
+  });
 }
 
 void SliceOwner::onWritten(const std::shared_ptr<scheduler::WriteCall> &Call,
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -13,7 +13,8 @@
 
 /// What a slice needs of the entry around it.
 struct SliceContext {
-  platform::Client *Client_ = nullptr;
+  platform::Client *Client_ = nullptr; ///< For calls to workers.
+  ledger::Store *Store_ = nullptr;
   const workflow::Catalog *Catalog_ = nullptr;
   const WorkerRegistry *Registry_ = nullptr;
   intake::PartitionCopy *Partition_ = nullptr;
--- a/packages/advice/detail/pool.hpp
+++ b/packages/advice/detail/pool.hpp
@@ -48,7 +48,11 @@
 /// The call that \p Id names; empty when it was given up already.
 std::optional<AdviceCall> finish(Pool &P, CallId Id, bool Answered,
                                  TimePoint Now);
-/// Calls without an answer in time.
-std::vector<AdviceCall> expire(Pool &P, TimePoint Now);
+/// A call without an answer in time. Helper_ is empty if none was asked.
+struct Expired {
+  AdviceCall Call_;
+  std::string Helper_;
+};
+std::vector<Expired> expire(Pool &P, TimePoint Now);
 
 } // namespace pollenvale::advice
--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -110,21 +110,21 @@
   return std::move(X.Call_);
 }
 
-std::vector<AdviceCall> expire(Pool &P, TimePoint Now) {
-  std::vector<AdviceCall> Out;
+std::vector<Expired> expire(Pool &P, TimePoint Now) {
+  std::vector<Expired> Out;
   for (auto It = P.InFlight_.begin(); It != P.InFlight_.end();) {
     if (Now < It->second.GiveUpAt_) {
       ++It;
       continue;
     }
     release(P, It->second, false, Now);
-    Out.push_back(std::move(It->second.Call_));
+    Out.push_back({std::move(It->second.Call_), It->second.Helper_});
     It = P.InFlight_.erase(It);
   }
   std::erase_if(P.Queue_, [&](Pending &X) {
     if (Now - X.QueuedAt_ < MaxQueueTime)
       return false;
-    Out.push_back(std::move(X.Call_));
+    Out.push_back({std::move(X.Call_), {}});
     return true;
   });
   return Out;
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -25,14 +25,18 @@
 
 /// Callers retry a few times only: the longer the store has been away, the
 /// later they are asked back. Half of them come a second later than the rest.
+/// \p GiveUpAt: end of the caller's time; coming back later is in vain.
 Answer rejectedByOutage(const Intake &I, const JobId &Job, TimePoint Now,
-                        std::string Message) {
+                        TimePoint GiveUpAt, std::string Message) {
   constexpr std::chrono::seconds Longest{3};
   Answer A = rejected(ErrorKind::LogUnavailable, std::move(Message));
   auto Lasting = std::chrono::duration_cast<std::chrono::seconds>(
       I.OutageSince_ ? Now - *I.OutageSince_ : TimePoint::duration{});
   A.RetryAfter_ = std::clamp(Lasting, std::chrono::seconds(1), Longest) +
                   std::chrono::seconds(stableHash(Job) % 2);
+  auto Left = std::chrono::duration_cast<std::chrono::seconds>(GiveUpAt - Now);
+  A.RetryAfter_ =
+      std::max(std::chrono::seconds(1), std::min(A.RetryAfter_, Left));
   return A;
 }
 
@@ -67,7 +71,7 @@
   // Nothing was stored and nothing can be: the caller may go elsewhere.
   if (!W->MayBeStored_)
     answer(I, W,
-           rejectedByOutage(I, W->Job_, I.LastFailureAt_,
+           rejectedByOutage(I, W->Job_, I.LastFailureAt_, W->GiveUpAt_,
                             "the store refused the record"));
 }
 
@@ -216,7 +220,8 @@
     count(I.Counters_, "submit-rejected-store");
     if (!I.OutageSince_)
       I.OutageSince_ = T.Now_;
-    Done(rejectedByOutage(I, Job, T.Now_, "the store does not answer"));
+    Done(rejectedByOutage(I, Job, T.Now_, T.Now_ + timeFor(T),
+                          "the store does not answer"));
     return;
   }
   count(I.Counters_, "submit");
--- a/packages/ledger/detail/tail.hpp
+++ b/packages/ledger/detail/tail.hpp
@@ -37,10 +37,15 @@
 };
 
 TailStep nextStep(const Tail &T, TimePoint Now);
+/// The read to make next. While the store does not answer, it waits for nothing
+/// and ends soon, so that its return is noticed at once.
+ReadCall nextRead(const Tail &T);
 void onSent(Tail &T, TimePoint Now);
 /// Returns true when a load has just been completed: keys that were not among
 /// the records since the load began are gone.
 bool onNewest(Tail &T, const NewestReply &Reply, TimePoint Now);
 void onRead(Tail &T, const ReadReply &Reply, TimePoint Now);
+/// Whether the partition could not be read for much longer than a read takes.
+bool isStale(const Tail &T, TimePoint Now);
 
 } // namespace pollenvale::ledger
--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Milliseconds RetryInterval{250};
+constexpr Milliseconds ProbeTimeout{600};
+/// Beyond the time that a read may wait and the pause after it.
+constexpr Milliseconds StaleMargin{500};
 
 } // namespace
 
@@ -16,6 +19,15 @@
   return T.Loading_ ? TailStep::Newest : TailStep::Read;
 }
 
+ReadCall nextRead(const Tail &T) {
+  ReadCall Call{T.Options_.From_, T.Next_, T.Options_.Wait_};
+  if (!T.Reachable_) {
+    Call.Wait_ = Milliseconds(0);
+    Call.Timeout_ = ProbeTimeout;
+  }
+  return Call;
+}
+
 void onSent(Tail &T, TimePoint Now) {
   T.InFlight_ = true;
   T.SentAt_ = Now;
@@ -67,4 +79,9 @@
   T.NotBefore_ = Now + T.Options_.Spacing_;
 }
 
+bool isStale(const Tail &T, TimePoint Now) {
+  return Now - T.CurrentAt_ >
+         T.Options_.Wait_ + T.Options_.Spacing_ + StaleMargin;
+}
+
 } // namespace pollenvale::ledger
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -71,3 +71,28 @@
   cr_assert(nextStep(T, T0) == TailStep::Idle);
   cr_assert(nextStep(T, T0 + Milliseconds(300)) == TailStep::Read);
 }
+
+Test(tail, it_is_stale_once_a_read_is_long_overdue) {
+  Tail T;
+  T.Options_.Wait_ = Milliseconds(1'000);
+  T.Options_.Spacing_ = Milliseconds(100);
+  onNewest(T, page(7, false), T0);
+  onSent(T, T0);
+  onRead(T, upTo(7, 7), T0 + Milliseconds(1'000));
+  cr_assert_not(isStale(T, T0 + Milliseconds(1'500)));
+  cr_assert(isStale(T, T0 + Milliseconds(1'700)));
+}
+
+Test(tail, a_store_that_did_not_answer_is_asked_for_what_is_there) {
+  Tail T;
+  T.Options_.Wait_ = Milliseconds(1'000);
+  onNewest(T, page(7, false), T0);
+  cr_assert(nextRead(T).Wait_ == Milliseconds(1'000));
+  onSent(T, T0);
+  onRead(T, {}, T0 + Milliseconds(2'000));
+  cr_assert(nextRead(T).Wait_ == Milliseconds(0));
+  cr_assert(nextRead(T).Timeout_ < Milliseconds(1'000));
+  onSent(T, T0 + Milliseconds(2'300));
+  onRead(T, upTo(7, 7), T0 + Milliseconds(2'310));
+  cr_assert(nextRead(T).Wait_ == Milliseconds(1'000));
+}
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -20,8 +20,6 @@
   Milliseconds SilenceLimit_{1'900};
   /// An owner that has not read the claims for this long stops its orders.
   Milliseconds SelfFence_{4'000};
-  /// The store seems away when the claims could not be read for this long.
-  Milliseconds AwayAfter_{1'300};
   /// Claims of several entries are spread over this time, so that few race.
   Milliseconds ClaimSpread_{300};
   /// An entry waits this much longer for each slice that it owns already.
@@ -112,7 +110,5 @@
 /// long that another entry may count on its silence. Heartbeats that are stored
 /// are no sign: an entry that cannot read may have been superseded.
 bool mayOrder(const State &S, TimePoint Now);
-/// The claims have not been read for so long that the store seems away.
-bool isStoreAway(const State &S, TimePoint Now);
 
 } // namespace pollenvale::ownership
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -193,8 +193,4 @@
   return Now - S.CurrentAt_ < S.Options_.SelfFence_;
 }
 
-bool isStoreAway(const State &S, TimePoint Now) {
-  return Now - S.CurrentAt_ > S.Options_.AwayAfter_;
-}
-
 } // namespace pollenvale::ownership
--- a/packages/peernet/src/peernet.cpp
+++ b/packages/peernet/src/peernet.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int SendBuffer = 512;
+constexpr std::size_t MaxFrameBytes = 4u << 20;
 constexpr nng_duration ReconnectMinMs = 50;
 constexpr nng_duration ReconnectMaxMs = 500;
 
@@ -25,6 +26,7 @@
   NngSocket(const std::string &Address, OnBytes Receive)
       : Receive_(std::move(Receive)) {
     check(nng_pull0_open(&Pull_), "peer socket");
+    nng_socket_set_size(Pull_, NNG_OPT_RECVMAXSZ, MaxFrameBytes);
     check(nng_listen(Pull_, ("tcp://" + Address).c_str(), nullptr, 0),
           "peer_address " + Address);
     Thread_ = std::thread([this] { run(); });
@@ -43,6 +45,14 @@
                     NNG_FLAG_NONBLOCK) == 0;
   }
 
+  void redial(const std::string &Address) override {
+    auto It = Push_.find(Address);
+    if (It == Push_.end())
+      return;
+    nng_close(It->second);
+    Push_.erase(It);
+  }
+
 private:
   static nng_socket dial(const std::string &Address) {
     nng_socket Socket;
--- /dev/null
+++ b/packages/relay/detail/messages.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// Messages by which an entry has another one call the store.
+#pragma once
+
+#include "ledger/ledger.hpp"
+
+#include <variant>
+
+namespace pollenvale::relay {
+
+using AskId = std::uint64_t;
+
+enum class CallKind { Append, Read, Newest };
+
+struct Row {
+  std::string Key_;
+  std::string Value_;
+  Offset Offset_ = 0;
+  MSGPACK_DEFINE(Key_, Value_, Offset_)
+};
+
+/// One call of any kind; fields that the kind does not use are empty.
+struct AskMessage {
+  AskId Id_ = 0;
+  std::string ReplyTo_; ///< Peer address of the entry that asks.
+  int Kind_ = 0;        ///< A CallKind.
+  std::string Topic_;
+  std::uint32_t Partition_ = 0;
+  std::vector<Row> Rows_;             ///< Of an append.
+  std::optional<Offset> ExpectedEnd_; ///< Of an append.
+  std::string Producer_;              ///< Of a fenced append; else empty.
+  std::uint64_t Epoch_ = 0;
+  std::uint64_t Sequence_ = 0;
+  Offset From_ = 0;          ///< Of a read.
+  std::uint32_t WaitMs_ = 0; ///< Of a read.
+  std::string AfterKey_;     ///< Of a page of newest records.
+  std::uint32_t TimeoutMs_ = 0;
+  MSGPACK_DEFINE(Id_, ReplyTo_, Kind_, Topic_, Partition_, Rows_, ExpectedEnd_,
+                 Producer_, Epoch_, Sequence_, From_, WaitMs_, AfterKey_,
+                 TimeoutMs_)
+};
+
+struct TellMessage {
+  AskId Id_ = 0;
+  int Status_ = int(ledger::StoreStatus::Unknown);
+  std::vector<Row> Rows_;
+  Offset First_ = 0;
+  Offset End_ = 0;
+  Offset Next_ = 0;
+  std::uint64_t ExpectedSequence_ = 0;
+  bool More_ = false;
+  MSGPACK_DEFINE(Id_, Status_, Rows_, First_, End_, Next_, ExpectedSequence_,
+                 More_)
+};
+
+using Message = std::variant<std::monostate, AskMessage, TellMessage>;
+
+std::string encode(const AskMessage &M);
+std::string encode(const TellMessage &M);
+/// std::monostate when \p Bytes are no such message.
+Message decode(const std::string &Bytes);
+
+AskMessage makeAsk(const ledger::AppendCall &Call);
+AskMessage makeAsk(const ledger::ReadCall &Call);
+AskMessage makeAsk(const ledger::NewestCall &Call);
+ledger::AppendCall appendCall(AskMessage M);
+ledger::ReadCall readCall(const AskMessage &M);
+ledger::NewestCall newestCall(const AskMessage &M);
+
+TellMessage makeTell(AskId Id, const ledger::AppendReply &R);
+TellMessage makeTell(AskId Id, ledger::ReadReply R);
+TellMessage makeTell(AskId Id, ledger::NewestReply R);
+ledger::AppendReply appendReply(const TellMessage &M);
+ledger::ReadReply readReply(TellMessage M);
+ledger::NewestReply newestReply(TellMessage M);
+
+} // namespace pollenvale::relay
--- /dev/null
+++ b/packages/relay/src/messages.cpp
@@ -0,0 +1,146 @@
+#include "relay/relay.hpp"
+
+namespace pollenvale::relay {
+
+using namespace ledger;
+
+namespace {
+
+constexpr char AskTag = 's';
+constexpr char TellTag = 'r';
+
+std::uint32_t toMs(Milliseconds Time) {
+  return std::uint32_t(std::max<std::int64_t>(Time.count(), 0));
+}
+
+std::vector<Row> toRows(std::vector<KeyedRecord> Records) {
+  std::vector<Row> Out;
+  Out.reserve(Records.size());
+  for (KeyedRecord &R : Records)
+    Out.push_back({std::move(R.Key_), std::move(R.Value_), R.Offset_});
+  return Out;
+}
+
+std::vector<KeyedRecord> toRecords(std::vector<Row> Rows) {
+  std::vector<KeyedRecord> Out;
+  Out.reserve(Rows.size());
+  for (Row &R : Rows)
+    Out.push_back({std::move(R.Key_), std::move(R.Value_), R.Offset_});
+  return Out;
+}
+
+AskMessage makeAsk(CallKind Kind, const Partition &P, Milliseconds Timeout) {
+  AskMessage M;
+  M.Kind_ = int(Kind);
+  M.Topic_ = P.Topic_;
+  M.Partition_ = P.Number_;
+  M.TimeoutMs_ = toMs(Timeout);
+  return M;
+}
+
+StoreStatus statusOf(const TellMessage &M) {
+  bool Known = M.Status_ >= int(StoreStatus::Done) &&
+               M.Status_ <= int(StoreStatus::Forgotten);
+  return Known ? StoreStatus(M.Status_) : StoreStatus::Unknown;
+}
+
+} // namespace
+
+std::string encode(const AskMessage &M) { return AskTag + pack(M); }
+std::string encode(const TellMessage &M) { return TellTag + pack(M); }
+
+Message decode(const std::string &Bytes) {
+  if (Bytes.empty())
+    return {};
+  std::string_view Body(Bytes.data() + 1, Bytes.size() - 1);
+  if (Bytes[0] == AskTag)
+    if (auto M = unpack<AskMessage>(Body))
+      return std::move(*M);
+  if (Bytes[0] == TellTag)
+    if (auto M = unpack<TellMessage>(Body))
+      return std::move(*M);
+  return {};
+}
+
+AskMessage makeAsk(const AppendCall &Call) {
+  AskMessage M = makeAsk(CallKind::Append, Call.To_, Call.Timeout_);
+  M.Rows_ = toRows(Call.Records_);
+  M.ExpectedEnd_ = Call.ExpectedEnd_;
+  if (Call.Fence_) {
+    M.Producer_ = Call.Fence_->Producer_;
+    M.Epoch_ = Call.Fence_->Epoch_;
+    M.Sequence_ = Call.Fence_->Sequence_;
+  }
+  return M;
+}
+
+AskMessage makeAsk(const ReadCall &Call) {
+  AskMessage M = makeAsk(CallKind::Read, Call.From_, Call.Timeout_);
+  M.From_ = Call.Offset_;
+  M.WaitMs_ = toMs(Call.Wait_);
+  return M;
+}
+
+AskMessage makeAsk(const NewestCall &Call) {
+  AskMessage M = makeAsk(CallKind::Newest, Call.From_, Call.Timeout_);
+  M.AfterKey_ = Call.AfterKey_;
+  return M;
+}
+
+AppendCall appendCall(AskMessage M) {
+  AppendCall Call;
+  Call.To_ = {M.Topic_, M.Partition_};
+  Call.Records_ = toRecords(std::move(M.Rows_));
+  Call.ExpectedEnd_ = M.ExpectedEnd_;
+  if (!M.Producer_.empty())
+    Call.Fence_ = Fence{M.Producer_, M.Epoch_, M.Sequence_};
+  Call.Timeout_ = Milliseconds(M.TimeoutMs_);
+  return Call;
+}
+
+ReadCall readCall(const AskMessage &M) {
+  return {{M.Topic_, M.Partition_},
+          M.From_,
+          Milliseconds(M.WaitMs_),
+          Milliseconds(M.TimeoutMs_)};
+}
+
+NewestCall newestCall(const AskMessage &M) {
+  return {{M.Topic_, M.Partition_}, M.AfterKey_, Milliseconds(M.TimeoutMs_)};
+}
+
+TellMessage makeTell(AskId Id, const AppendReply &R) {
+  TellMessage M{Id, int(R.Status_)};
+  M.First_ = R.First_;
+  M.End_ = R.End_;
+  M.ExpectedSequence_ = R.ExpectedSequence_;
+  return M;
+}
+
+TellMessage makeTell(AskId Id, ReadReply R) {
+  TellMessage M{Id, int(R.Status_), toRows(std::move(R.Records_))};
+  M.Next_ = R.Next_;
+  M.End_ = R.End_;
+  return M;
+}
+
+TellMessage makeTell(AskId Id, NewestReply R) {
+  TellMessage M{Id, int(R.Status_), toRows(std::move(R.Records_))};
+  M.End_ = R.End_;
+  M.More_ = R.More_;
+  return M;
+}
+
+AppendReply appendReply(const TellMessage &M) {
+  return {statusOf(M), M.First_, M.End_, M.ExpectedSequence_};
+}
+
+ReadReply readReply(TellMessage M) {
+  return {statusOf(M), toRecords(std::move(M.Rows_)), M.Next_, M.End_};
+}
+
+NewestReply newestReply(TellMessage M) {
+  return {statusOf(M), toRecords(std::move(M.Rows_)), M.More_, M.End_};
+}
+
+} // namespace pollenvale::relay
--- /dev/null
+++ b/packages/relay/src/store.cpp
@@ -0,0 +1,248 @@
+#include "relay/relay.hpp"
+
+namespace pollenvale::relay {
+
+using namespace ledger;
+
+namespace {
+
+/// Calls in flight for other entries; more are refused.
+constexpr std::size_t MaxServing = 64;
+/// Limits of a call by way of a peer. They are short, so that the direct way is
+/// tried again soon when the store is away for all.
+constexpr std::uint32_t PeerTimeoutMs = 700;
+constexpr std::uint32_t PeerWaitMs = 300;
+/// A failure within this time leaves time for another way.
+constexpr Milliseconds QuickFailure{300};
+/// Time for a peer's answer beyond the store's.
+constexpr Milliseconds PeerMargin{100};
+
+std::string partitionOf(const AskMessage &M) {
+  return nameOf({M.Topic_, M.Partition_});
+}
+
+Milliseconds timeLimit(const AskMessage &M) {
+  return Milliseconds(M.TimeoutMs_) + Milliseconds(M.WaitMs_);
+}
+
+} // namespace
+
+struct RelayStore::Call {
+  AskMessage Ask_;
+  std::string Partition_;
+  std::function<void(TellMessage)> Done_;
+  TimePoint SentAt_{};     ///< To the store.
+  TimePoint Due_{};        ///< When the store is to answer.
+  TimePoint PeerGiveUp_{}; ///< When the peer is to have answered.
+  std::string Peer_;
+  AskId Id_ = 0;
+  bool AtStore_ = false;
+  bool AtPeer_ = false;
+  bool PeerAsked_ = false;
+  /// A way that gave no answer may still carry it out.
+  bool MayBeDone_ = false;
+  bool Ended_ = false;
+
+  /// Whether a second carrying out is harmless.
+  bool mayRepeat() const { return !Ask_.ExpectedEnd_; }
+};
+
+void RelayStore::append(AppendCall Call_, Done<AppendReply> Done) {
+  auto C = std::make_shared<Call>();
+  C->Ask_ = makeAsk(Call_);
+  C->Done_ = [Done](const TellMessage &M) { Done(appendReply(M)); };
+  begin(std::move(C));
+}
+
+void RelayStore::read(ReadCall Call_, Done<ReadReply> Done) {
+  auto C = std::make_shared<Call>();
+  C->Ask_ = makeAsk(Call_);
+  C->Done_ = [Done](TellMessage M) { Done(readReply(std::move(M))); };
+  begin(std::move(C));
+}
+
+void RelayStore::newest(NewestCall Call_, Done<NewestReply> Done) {
+  auto C = std::make_shared<Call>();
+  C->Ask_ = makeAsk(Call_);
+  C->Done_ = [Done](TellMessage M) { Done(newestReply(std::move(M))); };
+  begin(std::move(C));
+}
+
+void RelayStore::begin(CallPtr C) {
+  C->Partition_ = partitionOf(C->Ask_);
+  if (!isDirectOpen(Router_, C->Partition_, Ports_.Clock_()) && askPeer(C))
+    return;
+  goDirect(C);
+}
+
+template <class Handle>
+void RelayStore::callDirect(const AskMessage &M, Handle Done) {
+  switch (CallKind(M.Kind_)) {
+  case CallKind::Append:
+    Ports_.Direct_->append(
+        appendCall(M), [Done](const AppendReply &R) { Done(makeTell(0, R)); });
+    break;
+  case CallKind::Read:
+    Ports_.Direct_->read(
+        readCall(M), [Done](ReadReply R) { Done(makeTell(0, std::move(R))); });
+    break;
+  case CallKind::Newest:
+    Ports_.Direct_->newest(newestCall(M), [Done](NewestReply R) {
+      Done(makeTell(0, std::move(R)));
+    });
+    break;
+  }
+}
+
+void RelayStore::goDirect(const CallPtr &C) {
+  C->AtStore_ = true;
+  C->SentAt_ = Ports_.Clock_();
+  C->Due_ = C->SentAt_ + Milliseconds(C->Ask_.WaitMs_);
+  Direct_.push_back(C);
+  callDirect(C->Ask_,
+             [this, C](const TellMessage &Reply) { onDirect(C, Reply); });
+}
+
+bool RelayStore::askPeer(const CallPtr &C) {
+  TimePoint Now = Ports_.Clock_();
+  std::string Peer = choosePeer(Router_, C->Partition_, Now);
+  if (Peer.empty())
+    return false;
+  C->PeerAsked_ = true;
+  C->Id_ = NextId_++;
+  AskMessage Ask = C->Ask_;
+  Ask.Id_ = C->Id_;
+  Ask.ReplyTo_ = Ports_.Self_;
+  Ask.TimeoutMs_ = std::min(Ask.TimeoutMs_, PeerTimeoutMs);
+  Ask.WaitMs_ = std::min(Ask.WaitMs_, PeerWaitMs);
+  C->AtPeer_ = true;
+  C->Peer_ = Peer;
+  C->PeerGiveUp_ = Now + timeLimit(Ask) + PeerMargin;
+  AtPeers_[C->Id_] = C;
+  count(Counters_, "relay-asked");
+  if (Ports_.Send_(Peer, encode(Ask)))
+    return true;
+  AtPeers_.erase(C->Id_);
+  C->AtPeer_ = false;
+  onPeer(Router_, C->Partition_, Peer, false, Now);
+  return false;
+}
+
+void RelayStore::onDirect(const CallPtr &C, const TellMessage &Reply) {
+  C->AtStore_ = false;
+  Direct_.remove(C);
+  auto Status = StoreStatus(Reply.Status_);
+  TimePoint Now = Ports_.Clock_();
+  relay::onDirect(Router_, C->Partition_, Status, Now);
+  if (C->Ended_)
+    return;
+  if (!isFailure(Status))
+    return conclude(C, Reply);
+  C->MayBeDone_ |= Status == StoreStatus::Unknown;
+  if (C->AtPeer_)
+    return;
+  // A call that has taken its time ends here: its maker decides what comes
+  // next.
+  bool Again = !C->PeerAsked_ && Now - C->SentAt_ <= QuickFailure &&
+               (C->mayRepeat() || !C->MayBeDone_);
+  if (!Again || !askPeer(C))
+    conclude(C, Reply);
+}
+
+void RelayStore::onTell(const TellMessage &M) {
+  auto It = AtPeers_.find(M.Id_);
+  if (It == AtPeers_.end())
+    return;
+  CallPtr C = It->second;
+  AtPeers_.erase(It);
+  C->AtPeer_ = false;
+  auto Status = StoreStatus(M.Status_);
+  onPeer(Router_, C->Partition_, C->Peer_, !isFailure(Status), Ports_.Clock_());
+  if (!isFailure(Status))
+    return conclude(C, M);
+  C->MayBeDone_ |= Status == StoreStatus::Unknown;
+  if (C->AtStore_)
+    return;
+  // The peer has no way to the store either: another one may.
+  if (!C->MayBeDone_ && askPeer(C))
+    return;
+  bool Tried = C->SentAt_ != TimePoint{};
+  if (C->MayBeDone_ || Tried)
+    return conclude(C, M);
+  goDirect(C);
+}
+
+void RelayStore::conclude(const CallPtr &C, const TellMessage &Reply) {
+  if (C->Ended_)
+    return;
+  C->Ended_ = true;
+  AtPeers_.erase(C->Id_);
+  TellMessage Out = Reply;
+  // "Not done" must hold for every way that was tried.
+  if (C->MayBeDone_ && StoreStatus(Out.Status_) == StoreStatus::NotDone)
+    Out.Status_ = int(StoreStatus::Unknown);
+  C->Done_(std::move(Out));
+}
+
+void RelayStore::onMessage(Message M) {
+  if (auto *Ask = std::get_if<AskMessage>(&M))
+    serve(std::move(*Ask));
+  else if (auto *Tell = std::get_if<TellMessage>(&M))
+    onTell(*Tell);
+  else
+    count(Counters_, "relay-frame-unreadable");
+}
+
+void RelayStore::serve(AskMessage M) {
+  std::string Partition = partitionOf(M);
+  bool Known =
+      M.Kind_ >= int(CallKind::Append) && M.Kind_ <= int(CallKind::Newest);
+  if (!Known || Serving_ >= MaxServing ||
+      !mayServe(Router_, Partition, Ports_.Clock_())) {
+    count(Counters_, "relay-refused");
+    return tell(M.ReplyTo_, {M.Id_, int(StoreStatus::NotDone)});
+  }
+  count(Counters_, "relay-served");
+  ++Serving_;
+  callDirect(M,
+             [this, Id = M.Id_, To = M.ReplyTo_, Partition](TellMessage Reply) {
+               --Serving_;
+               relay::onDirect(Router_, Partition, StoreStatus(Reply.Status_),
+                               Ports_.Clock_());
+               Reply.Id_ = Id;
+               tell(To, std::move(Reply));
+             });
+}
+
+void RelayStore::tell(const std::string &Address, TellMessage M) {
+  if (!Ports_.Send_(Address, encode(M)))
+    count(Counters_, "relay-frame-dropped");
+}
+
+void RelayStore::tick() {
+  TimePoint Now = Ports_.Clock_();
+  auto Direct = Direct_;
+  for (const CallPtr &C : Direct) {
+    if (!noteWaiting(Router_, C->Partition_, C->Due_, Now) || C->Ended_ ||
+        C->PeerAsked_ || !C->mayRepeat())
+      continue;
+    count(Counters_, "relay-silent-store");
+    C->MayBeDone_ = true;
+    askPeer(C);
+  }
+  auto AtPeers = AtPeers_;
+  for (const auto &[Id, C] : AtPeers) {
+    if (Now < C->PeerGiveUp_)
+      continue;
+    count(Counters_, "relay-no-answer");
+    onPeer(Router_, C->Partition_, C->Peer_, false, Now);
+    Ports_.Suspect_(C->Peer_);
+    AtPeers_.erase(Id);
+    C->AtPeer_ = false;
+    C->MayBeDone_ = true;
+    if (!C->AtStore_)
+      conclude(C, {Id, int(StoreStatus::Unknown)});
+  }
+}
+
+} // namespace pollenvale::relay
--- /dev/null
+++ b/packages/relay/tests/unit-relay.cpp
@@ -0,0 +1,232 @@
+/// Calls to the store by way of other entries, while the store turns some away.
+#include "relay/relay.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::relay;
+using namespace pollenvale::ledger;
+
+namespace {
+
+enum class Mood { Serves, Refuses, Silent, LosesAnswers };
+
+struct Cell;
+
+/// The store as one entry meets it.
+struct EntryStore : Store {
+  Cell &Cell_;
+  Mood Mood_ = Mood::Serves;
+  unsigned Appends_ = 0;
+  std::vector<std::function<void()>> Held_; ///< Calls that get no answer.
+  explicit EntryStore(Cell &C) : Cell_(C) {}
+
+  void append(AppendCall Call, Done<AppendReply> Done) override;
+  void read(ReadCall Call, Done<ReadReply> Done) override;
+  void newest(NewestCall, Done<NewestReply> Done) override { Done({}); }
+};
+
+/// Some entries, a log and frames that arrive at once.
+struct Cell {
+  TimePoint Now_{std::chrono::seconds(100)};
+  std::vector<KeyedRecord> Log_;
+  std::vector<std::unique_ptr<EntryStore>> Stores_;
+  std::vector<std::unique_ptr<RelayStore>> Entries_;
+  std::set<std::size_t> Deaf_; ///< Entries that frames don't reach.
+  std::vector<std::string> Suspected_;
+  unsigned Ticks_ = 0;
+
+  explicit Cell(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      Stores_.push_back(std::make_unique<EntryStore>(*this));
+      RelayPorts P;
+      P.Direct_ = Stores_.back().get();
+      P.Self_ = std::to_string(I);
+      P.Clock_ = [this] { return Now_; };
+      P.Send_ = [this](const std::string &To, const std::string &Bytes) {
+        auto Entry = std::size_t(std::stoul(To));
+        if (!Deaf_.count(Entry))
+          Entries_[Entry]->onMessage(decode(Bytes));
+        return true;
+      };
+      P.Suspect_ = [this](const std::string &To) { Suspected_.push_back(To); };
+      Entries_.push_back(std::make_unique<RelayStore>(std::move(P)));
+      std::vector<std::string> Peers;
+      for (std::size_t Peer = 0; Peer < Count; ++Peer)
+        if (Peer != I)
+          Peers.push_back(std::to_string(Peer));
+      setPeers(Entries_.back()->Router_, Peers);
+    }
+    for (std::size_t I = 0; I < Count; ++I)
+      readOnce(I);
+  }
+
+  /// As followers of the store do all the time.
+  void readOnce(std::size_t Entry) {
+    Entries_[Entry]->read({{"t", 0}, 0}, [](const ReadReply &) {});
+  }
+
+  void run(Milliseconds Time) {
+    for (TimePoint End = Now_ + Time; Now_ < End;) {
+      Now_ += Milliseconds(25);
+      for (std::size_t I = 0; I < Entries_.size(); ++I) {
+        Entries_[I]->tick();
+        if (++Ticks_ % 8 == 0)
+          readOnce(I);
+      }
+    }
+  }
+
+  /// Statuses of the answers to one append of entry 0.
+  std::vector<StoreStatus> append(std::optional<Offset> ExpectedEnd = {}) {
+    AppendCall Call{{"t", 0}, {{"k", "v"}}, ExpectedEnd, {}};
+    std::vector<StoreStatus> Out;
+    Entries_[0]->append(
+        Call, [&](const AppendReply &R) { Out.push_back(R.Status_); });
+    run(Milliseconds(4'000));
+    return Out;
+  }
+};
+
+void EntryStore::append(AppendCall Call, Done<AppendReply> Done) {
+  ++Appends_;
+  if (Mood_ == Mood::Refuses)
+    return Done({StoreStatus::NotDone});
+  if (Mood_ == Mood::Silent)
+    return Held_.push_back([Done] { Done({}); });
+  if (Call.ExpectedEnd_ && *Call.ExpectedEnd_ != Cell_.Log_.size())
+    return Done({StoreStatus::Moved});
+  Offset First = Cell_.Log_.size();
+  for (KeyedRecord &R : Call.Records_)
+    Cell_.Log_.push_back(std::move(R));
+  if (Mood_ == Mood::LosesAnswers)
+    return Done({});
+  Done({StoreStatus::Done, First, Cell_.Log_.size()});
+}
+
+void EntryStore::read(ReadCall Call, Done<ReadReply> Done) {
+  if (Mood_ == Mood::Silent)
+    return Held_.push_back([Done] { Done({}); });
+  if (Mood_ != Mood::Serves)
+    return Done({});
+  ReadReply R{StoreStatus::Done};
+  for (Offset I = Call.Offset_; I < Cell_.Log_.size(); ++I)
+    R.Records_.push_back(Cell_.Log_[I]);
+  R.Next_ = R.End_ = Cell_.Log_.size();
+  Done(R);
+}
+
+using Statuses = std::vector<StoreStatus>;
+
+} // namespace
+
+Test(relay, a_working_store_is_called_directly) {
+  Cell C(3);
+  cr_assert(C.append() == Statuses{StoreStatus::Done});
+  cr_assert_eq(C.Stores_[0]->Appends_, 1u);
+  cr_assert_eq(C.Stores_[1]->Appends_ + C.Stores_[2]->Appends_, 0u);
+}
+
+Test(relay, a_refused_append_is_made_by_a_peer) {
+  Cell C(3);
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  cr_assert(C.append() == Statuses{StoreStatus::Done});
+  cr_assert_eq(C.Log_.size(), 1u);
+}
+
+Test(relay, a_refused_conditional_append_is_made_by_a_peer) {
+  Cell C(2);
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  cr_assert(C.append(0) == Statuses{StoreStatus::Done});
+  cr_assert(C.append(0) == Statuses{StoreStatus::Moved});
+}
+
+Test(relay, a_conditional_append_without_an_answer_is_not_repeated) {
+  // A repeat would find the first one's record and look like a lost race.
+  Cell C(2);
+  C.Stores_[0]->Mood_ = Mood::LosesAnswers;
+  cr_assert(C.append(0) == Statuses{StoreStatus::Unknown});
+  cr_assert_eq(C.Stores_[1]->Appends_, 0u);
+}
+
+Test(relay, not_done_is_said_only_if_no_way_may_have_done_it) {
+  Cell C(3);
+  C.Stores_[0]->Mood_ = Mood::LosesAnswers;
+  C.Stores_[1]->Mood_ = C.Stores_[2]->Mood_ = Mood::Refuses;
+  cr_assert(C.append() == Statuses{StoreStatus::Unknown});
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  cr_assert(C.append() == Statuses{StoreStatus::NotDone});
+}
+
+Test(relay, peers_without_a_way_are_passed_over) {
+  Cell C(4);
+  for (std::size_t I : {0u, 1u, 2u})
+    C.Stores_[I]->Mood_ = Mood::Refuses;
+  C.run(Milliseconds(500));
+  for (int I = 0; I < 5; ++I)
+    cr_assert(C.append() == Statuses{StoreStatus::Done});
+}
+
+Test(relay, a_silent_store_is_reached_by_a_peer_before_the_call_times_out) {
+  Cell C(2);
+  C.Stores_[0]->Mood_ = Mood::Silent;
+  AppendCall Call{{"t", 0}, {{"k", "v"}}, {}, {}};
+  Statuses Out;
+  C.Entries_[0]->append(
+      Call, [&](const AppendReply &R) { Out.push_back(R.Status_); });
+  C.run(Milliseconds(800));
+  cr_assert(Out == Statuses{StoreStatus::Done});
+  // The direct call's end is not a second answer.
+  for (auto &End : C.Stores_[0]->Held_)
+    End();
+  cr_assert_eq(Out.size(), 1u);
+}
+
+Test(relay, the_direct_way_is_taken_again_once_it_works) {
+  Cell C(2);
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  C.append();
+  C.Stores_[0]->Mood_ = Mood::Serves;
+  C.run(Milliseconds(1'000));
+  unsigned Before = C.Stores_[1]->Appends_;
+  cr_assert(C.append() == Statuses{StoreStatus::Done});
+  cr_assert_eq(C.Stores_[1]->Appends_, Before);
+}
+
+Test(relay, a_peer_that_does_not_answer_is_suspected_and_left_alone) {
+  Cell C(2);
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  C.Deaf_.insert(1);
+  cr_assert(C.append() == Statuses{StoreStatus::Unknown});
+  cr_assert_eq(C.Suspected_.size(), 1u);
+}
+
+Test(relay, a_store_that_is_down_for_all_is_not_asked_in_circles) {
+  Cell C(6);
+  for (auto &S : C.Stores_)
+    S->Mood_ = Mood::Refuses;
+  for (int I = 0; I < 10; ++I)
+    cr_assert(C.append() == Statuses{StoreStatus::NotDone});
+  unsigned Calls = 0;
+  for (auto &S : C.Stores_)
+    Calls += S->Appends_;
+  cr_assert_leq(Calls, 10u * 6u);
+}
+
+Test(relay, reads_come_by_way_of_a_peer) {
+  Cell C(2);
+  C.append();
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  ReadReply Got;
+  C.Entries_[0]->read({{"t", 0}, 0}, [&](ReadReply R) { Got = std::move(R); });
+  cr_assert(Got.Status_ == StoreStatus::Done);
+  cr_assert_eq(Got.Records_.size(), 1u);
+  cr_assert_eq(Got.Records_[0].Key_, std::string("k"));
+}
+
+Test(relay, unreadable_frames_are_counted) {
+  Cell C(2);
+  C.Entries_[0]->onMessage(decode("nonsense"));
+  C.Entries_[0]->onMessage(decode(""));
+  cr_assert_eq(C.Entries_[0]->Counters_["relay-frame-unreadable"], 2u);
+}
