Stored job records are announced to the other entries, which read less

Change: whoever appends to the job topic sends the records with their offsets to the other entries (up to 12 of them). A tail takes delivered records only if none is missing before them, so a fence is never passed over and the argument for two owners stays as it is; what is missing is read after 30 ms. Only a read makes a copy current.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -24,11 +24,15 @@
 /// A lost opening packet is sent again after a second; a new connection comes
 /// sooner.
 constexpr Milliseconds ConnectTimeout{400};
-/// Copies of entries that own nothing are read in steps of this length.
-constexpr Milliseconds CopySpacing{120};
+/// Least time between two reads of a partition by an entry that owns nothing of
+/// it: records are announced by their writers, a read finds what got lost.
+constexpr Milliseconds CopySpacing{1'000};
+/// The same in a fleet so large that writers announce nothing.
+constexpr Milliseconds LargeFleetSpacing{500};
 constexpr Milliseconds CopyWait{1'000};
-constexpr Milliseconds OwnerSpacing{12};
+constexpr Milliseconds OwnerSpacing{100};
 constexpr Milliseconds ClaimWait{700};
+constexpr Milliseconds ClaimSpacing{200};
 constexpr Milliseconds ConfigWait{1'000};
 /// Closed jobs stay known for this much longer than callers may ask.
 constexpr Milliseconds ClosedJobsMargin{60'000};
@@ -72,6 +76,13 @@
     P.Send_ = [this](const std::string &Address, const std::string &Bytes) {
       return Peers_.send(Address, FrameKind::Store, Bytes);
     };
+    P.AnnouncedTopic_ = intake::JobTopic;
+    P.OnStored_ = [this](std::uint32_t Partition,
+                         std::vector<ledger::KeyedRecord> Records) {
+      auto It = Partitions_.find(Partition);
+      if (It != Partitions_.end())
+        It->second->deliver(std::move(Records));
+    };
     P.Suspect_ = [this](const std::string &Address) {
       Peers_.suspect(Address);
     };
@@ -119,7 +130,7 @@
 
   void followClaims() {
     ClaimFollower_ =
-        follow(ClaimTail_, {{ClaimTopic, 0}, ClaimWait, {}},
+        follow(ClaimTail_, {{ClaimTopic, 0}, ClaimWait, ClaimSpacing},
                {[this](const ledger::KeyedRecord &R) {
                   ownership::onRecord(Claims_, R, now());
                 },
@@ -232,12 +243,17 @@
       if (!Owners_.count(Slice))
         startOwner(Slice, Own);
     for (auto &[Number, Copy] : Intake_.Partitions_)
-      Copy.Tail_.Options_.Spacing_ =
-          ownsPartition(Number) ? OwnerSpacing : CopySpacing;
+      Copy.Tail_.Options_.Spacing_ = spacingOf(Number);
     if (Owners_.empty())
       Registry_.leave();
   }
 
+  Milliseconds spacingOf(std::uint32_t Number) const {
+    if (ownsPartition(Number))
+      return OwnerSpacing;
+    return Store_.announces() ? CopySpacing : LargeFleetSpacing;
+  }
+
   bool ownsPartition(std::uint32_t Number) const {
     for (const auto &[Slice, Owner] : Owners_)
       if (intake::partitionOf(Slice) == Number)
--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -43,11 +43,24 @@
   if (Stopped_)
     return;
   for (const ledger::KeyedRecord &R : Reply.Records_)
-    Events_.OnRecord_(R);
+    if (R.Offset_ >= Tail_.Next_)
+      Events_.OnRecord_(R);
   ledger::onRead(Tail_, Reply, now());
+  for (const ledger::KeyedRecord &R : ledger::takeAhead(Tail_))
+    Events_.OnRecord_(R);
   if (Tail_.Reachable_)
     Events_.OnAnswer_();
   poll();
 }
 
+void Follower::deliver(std::vector<ledger::KeyedRecord> Records) {
+  if (Stopped_)
+    return;
+  auto Next = ledger::deliver(Tail_, std::move(Records), now());
+  for (const ledger::KeyedRecord &R : Next)
+    Events_.OnRecord_(R);
+  if (!Next.empty())
+    Events_.OnAnswer_();
+}
+
 } // namespace pollenvale::fleet
--- a/apps/pollenvale/fleet/follower.hpp
+++ b/apps/pollenvale/fleet/follower.hpp
@@ -24,6 +24,8 @@
 
   /// Makes the next call if it is due.
   void poll();
+  /// Stored records that came from their writer.
+  void deliver(std::vector<ledger::KeyedRecord> Records);
   void stop() { Stopped_ = true; }
 
 private:
--- a/packages/ledger/detail/tail.hpp
+++ b/packages/ledger/detail/tail.hpp
@@ -6,6 +6,8 @@
 
 #include "ledger/detail/store.hpp"
 
+#include <map>
+
 namespace pollenvale::ledger {
 
 struct TailOptions {
@@ -33,6 +35,8 @@
   /// Everything that was stored before this time has been read.
   TimePoint CurrentAt_{};
   TimePoint AnsweredAt_{}; ///< Last answer of the store to this tail.
+  /// Delivered records whose predecessors are still missing.
+  std::map<Offset, KeyedRecord> Ahead_;
   bool Reachable_ = false;
 };
 
@@ -45,6 +49,15 @@
 /// the records since the load began are gone.
 bool onNewest(Tail &T, const NewestReply &Reply, TimePoint Now);
 void onRead(Tail &T, const ReadReply &Reply, TimePoint Now);
+/// Takes stored records that came from their writer and not by a read. Returns
+/// those that come next, in order: none is passed over, so whoever follows the
+/// partition sees what it would have read.
+std::vector<KeyedRecord> deliver(Tail &T, std::vector<KeyedRecord> Records,
+                                 TimePoint Now);
+/// Delivered records that come next after a read.
+std::vector<KeyedRecord> takeAhead(Tail &T);
+/// Asks for a read soon.
+void hurry(Tail &T, TimePoint Now);
 /// Whether the partition could not be read for much longer than a read takes.
 bool isStale(const Tail &T, TimePoint Now);
 
--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -8,6 +8,9 @@
 
 constexpr Milliseconds RetryInterval{250};
 constexpr Milliseconds ProbeTimeout{600};
+/// Delivered records come a little out of order.
+constexpr Milliseconds GapPause{30};
+constexpr std::size_t MaxAhead = 2'000;
 /// Beyond the time that a read may wait and the pause after it.
 constexpr Milliseconds StaleMargin{500};
 
@@ -64,6 +67,7 @@
     T.Loading_ = true;
     T.LoadEnd_.reset();
     T.PageAfter_.clear();
+    T.Ahead_.clear();
     return;
   }
   if (Reply.Status_ != StoreStatus::Done) {
@@ -79,6 +83,36 @@
   T.NotBefore_ = Now + T.Options_.Spacing_;
 }
 
+std::vector<KeyedRecord> takeAhead(Tail &T) {
+  std::vector<KeyedRecord> Out;
+  T.Ahead_.erase(T.Ahead_.begin(), T.Ahead_.lower_bound(T.Next_));
+  while (!T.Ahead_.empty() && T.Ahead_.begin()->first == T.Next_) {
+    Out.push_back(std::move(T.Ahead_.begin()->second));
+    T.Ahead_.erase(T.Ahead_.begin());
+    ++T.Next_;
+  }
+  return Out;
+}
+
+std::vector<KeyedRecord> deliver(Tail &T, std::vector<KeyedRecord> Records,
+                                 TimePoint Now) {
+  if (T.Loading_)
+    return {};
+  for (KeyedRecord &R : Records)
+    if (R.Offset_ >= T.Next_ && T.Ahead_.size() < MaxAhead)
+      T.Ahead_.emplace(R.Offset_, std::move(R));
+  std::vector<KeyedRecord> Out = takeAhead(T);
+  // What is missing may be on its way, or lost.
+  if (!T.Ahead_.empty())
+    hurry(T, Now + GapPause);
+  return Out;
+}
+
+void hurry(Tail &T, TimePoint Now) {
+  if (T.Reachable_)
+    T.NotBefore_ = std::min(T.NotBefore_, Now);
+}
+
 bool isStale(const Tail &T, TimePoint Now) {
   return Now - T.CurrentAt_ >
          T.Options_.Wait_ + T.Options_.Spacing_ + StaleMargin;
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -96,3 +96,55 @@
   onRead(T, upTo(7, 7), T0 + Milliseconds(2'310));
   cr_assert(nextRead(T).Wait_ == Milliseconds(1'000));
 }
+
+namespace {
+
+std::vector<KeyedRecord> stored(Offset First, std::size_t Count) {
+  std::vector<KeyedRecord> Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.push_back({"k", "v", First + I});
+  return Out;
+}
+
+Tail loadedUpTo(Offset End) {
+  Tail T;
+  onNewest(T, page(End, false), T0);
+  T.Reachable_ = true;
+  return T;
+}
+
+} // namespace
+
+Test(tail, delivered_records_come_in_order_and_none_is_passed_over) {
+  Tail T = loadedUpTo(7);
+  cr_assert(deliver(T, stored(8, 2), T0).empty());
+  auto Next = deliver(T, stored(7, 1), T0);
+  cr_assert_eq(Next.size(), 3u);
+  cr_assert_eq(Next.front().Offset_, 7u);
+  cr_assert_eq(T.Next_, 10u);
+  cr_assert(deliver(T, stored(8, 2), T0).empty(), "known ones are left out");
+}
+
+Test(tail, a_missing_record_is_read_soon) {
+  Tail T = loadedUpTo(7);
+  T.NotBefore_ = T0 + Milliseconds(1'000);
+  deliver(T, stored(9, 1), T0);
+  cr_assert(nextStep(T, T0 + Milliseconds(100)) == TailStep::Read);
+  onSent(T, T0 + Milliseconds(100));
+  onRead(T, upTo(9, 9), T0 + Milliseconds(104));
+  cr_assert_eq(takeAhead(T).size(), 1u);
+  cr_assert_eq(T.Next_, 10u);
+}
+
+Test(tail, delivered_records_do_not_make_it_current) {
+  // Only a read tells that nothing else was stored.
+  Tail T = loadedUpTo(7);
+  deliver(T, stored(7, 1), T0);
+  cr_assert(T.CurrentAt_ == TimePoint{});
+}
+
+Test(tail, nothing_is_delivered_while_it_loads) {
+  Tail T;
+  cr_assert(deliver(T, stored(0, 1), T0).empty());
+  cr_assert_eq(T.Next_, 0u);
+}
--- a/packages/relay/detail/messages.hpp
+++ b/packages/relay/detail/messages.hpp
@@ -53,13 +53,24 @@
                  More_)
 };
 
-using Message = std::variant<std::monostate, AskMessage, TellMessage>;
+/// Records that its writer knows to be stored.
+struct StoredMessage {
+  std::string Topic_;
+  std::uint32_t Partition_ = 0;
+  std::vector<Row> Rows_;
+  MSGPACK_DEFINE(Topic_, Partition_, Rows_)
+};
+
+using Message =
+    std::variant<std::monostate, AskMessage, TellMessage, StoredMessage>;
 
 std::string encode(const AskMessage &M);
 std::string encode(const TellMessage &M);
+std::string encode(const StoredMessage &M);
 /// std::monostate when \p Bytes are no such message.
 Message decode(const std::string &Bytes);
 
+std::vector<ledger::KeyedRecord> toRecords(std::vector<Row> Rows);
 AskMessage makeAsk(const ledger::AppendCall &Call);
 AskMessage makeAsk(const ledger::ReadCall &Call);
 AskMessage makeAsk(const ledger::NewestCall &Call);
--- a/packages/relay/detail/store.hpp
+++ b/packages/relay/detail/store.hpp
@@ -17,6 +17,12 @@
   /// False when the frame was dropped.
   std::function<bool(const std::string &Address, const std::string &Bytes)>
       Send_;
+  /// Appends to this topic are announced to the other entries.
+  std::string AnnouncedTopic_;
+  /// Stored records of that topic, of this entry or another.
+  std::function<void(std::uint32_t Partition,
+                     std::vector<ledger::KeyedRecord> Records)>
+      OnStored_;
   /// The connections from and to a peer may be dead.
   std::function<void(const std::string &Address)> Suspect_;
 };
@@ -35,6 +41,8 @@
   void newest(ledger::NewestCall Call,
               ledger::Done<ledger::NewestReply> Done) override;
 
+  /// Whether stored records are announced to so many entries.
+  bool announces() const;
   /// A frame of another entry.
   void onMessage(Message M);
   /// Gives up what peers don't answer and passes on what the store keeps
@@ -56,6 +64,8 @@
   void onDirect(const CallPtr &C, const TellMessage &Reply);
   void onTell(const TellMessage &M);
   void conclude(const CallPtr &C, const TellMessage &Reply);
+  /// Passes on what an append has stored, so that the others need not read it.
+  void announce(const CallPtr &C, const TellMessage &Reply);
   void serve(AskMessage M);
   void tell(const std::string &Address, TellMessage M);
   template <class Handle> void callDirect(const AskMessage &M, Handle Done);
--- a/packages/relay/src/messages.cpp
+++ b/packages/relay/src/messages.cpp
@@ -8,6 +8,7 @@
 
 constexpr char AskTag = 's';
 constexpr char TellTag = 'r';
+constexpr char StoredTag = 'd';
 
 std::uint32_t toMs(Milliseconds Time) {
   return std::uint32_t(std::max<std::int64_t>(Time.count(), 0));
@@ -21,14 +22,6 @@
   return Out;
 }
 
-std::vector<KeyedRecord> toRecords(std::vector<Row> Rows) {
-  std::vector<KeyedRecord> Out;
-  Out.reserve(Rows.size());
-  for (Row &R : Rows)
-    Out.push_back({std::move(R.Key_), std::move(R.Value_), R.Offset_});
-  return Out;
-}
-
 AskMessage makeAsk(CallKind Kind, const Partition &P, Milliseconds Timeout) {
   AskMessage M;
   M.Kind_ = int(Kind);
@@ -46,8 +39,17 @@
 
 } // namespace
 
+std::vector<KeyedRecord> toRecords(std::vector<Row> Rows) {
+  std::vector<KeyedRecord> Out;
+  Out.reserve(Rows.size());
+  for (Row &R : Rows)
+    Out.push_back({std::move(R.Key_), std::move(R.Value_), R.Offset_});
+  return Out;
+}
+
 std::string encode(const AskMessage &M) { return AskTag + pack(M); }
 std::string encode(const TellMessage &M) { return TellTag + pack(M); }
+std::string encode(const StoredMessage &M) { return StoredTag + pack(M); }
 
 Message decode(const std::string &Bytes) {
   if (Bytes.empty())
@@ -59,6 +61,9 @@
   if (Bytes[0] == TellTag)
     if (auto M = unpack<TellMessage>(Body))
       return std::move(*M);
+  if (Bytes[0] == StoredTag)
+    if (auto M = unpack<StoredMessage>(Body))
+      return std::move(*M);
   return {};
 }
 
--- a/packages/relay/src/store.cpp
+++ b/packages/relay/src/store.cpp
@@ -12,6 +12,8 @@
 /// tried again soon when the store is away for all.
 constexpr std::uint32_t PeerTimeoutMs = 700;
 constexpr std::uint32_t PeerWaitMs = 300;
+/// With more entries than this, each reads the store by itself.
+constexpr std::size_t MaxAnnounced = 12;
 /// A failure within this time leaves time for another way.
 constexpr Milliseconds QuickFailure{300};
 /// Time for a peer's answer beyond the store's.
@@ -181,14 +183,39 @@
   // "Not done" must hold for every way that was tried.
   if (C->MayBeDone_ && StoreStatus(Out.Status_) == StoreStatus::NotDone)
     Out.Status_ = int(StoreStatus::Unknown);
+  announce(C, Out);
   C->Done_(std::move(Out));
 }
 
+bool RelayStore::announces() const {
+  return Router_.Peers_.size() <= MaxAnnounced;
+}
+
+void RelayStore::announce(const CallPtr &C, const TellMessage &Reply) {
+  if (CallKind(C->Ask_.Kind_) != CallKind::Append ||
+      StoreStatus(Reply.Status_) != StoreStatus::Done ||
+      C->Ask_.Topic_ != Ports_.AnnouncedTopic_)
+    return;
+  StoredMessage M{C->Ask_.Topic_, C->Ask_.Partition_, std::move(C->Ask_.Rows_)};
+  Offset Next = Reply.First_;
+  for (Row &R : M.Rows_)
+    R.Offset_ = Next++;
+  if (announces()) {
+    std::string Frame = encode(M);
+    for (const std::string &Peer : Router_.Peers_)
+      Ports_.Send_(Peer, Frame);
+  }
+  Ports_.OnStored_(M.Partition_, toRecords(std::move(M.Rows_)));
+}
+
 void RelayStore::onMessage(Message M) {
   if (auto *Ask = std::get_if<AskMessage>(&M))
     serve(std::move(*Ask));
   else if (auto *Tell = std::get_if<TellMessage>(&M))
     onTell(*Tell);
+  else if (auto *Stored = std::get_if<StoredMessage>(&M);
+           Stored && Stored->Topic_ == Ports_.AnnouncedTopic_)
+    Ports_.OnStored_(Stored->Partition_, toRecords(std::move(Stored->Rows_)));
   else
     count(Counters_, "relay-frame-unreadable");
 }
--- a/packages/relay/tests/unit-relay.cpp
+++ b/packages/relay/tests/unit-relay.cpp
@@ -35,6 +35,7 @@
   std::set<std::size_t> Deaf_; ///< Entries that frames don't reach.
   std::vector<std::string> Suspected_;
   unsigned Ticks_ = 0;
+  std::map<std::size_t, std::vector<Offset>> Announced_; ///< By entry.
 
   explicit Cell(std::size_t Count) {
     for (std::size_t I = 0; I < Count; ++I) {
@@ -49,6 +50,11 @@
           Entries_[Entry]->onMessage(decode(Bytes));
         return true;
       };
+      P.AnnouncedTopic_ = "t";
+      P.OnStored_ = [this, I](std::uint32_t, std::vector<KeyedRecord> Records) {
+        for (const KeyedRecord &R : Records)
+          Announced_[I].push_back(R.Offset_);
+      };
       P.Suspect_ = [this](const std::string &To) { Suspected_.push_back(To); };
       Entries_.push_back(std::make_unique<RelayStore>(std::move(P)));
       std::vector<std::string> Peers;
@@ -230,3 +236,18 @@
   C.Entries_[0]->onMessage(decode(""));
   cr_assert_eq(C.Entries_[0]->Counters_["relay-frame-unreadable"], 2u);
 }
+
+Test(relay, stored_records_are_announced_with_their_offsets) {
+  Cell C(3);
+  C.append();
+  C.append();
+  for (std::size_t I = 0; I < 3; ++I)
+    cr_assert(C.Announced_[I] == std::vector<Offset>({0, 1}));
+}
+
+Test(relay, what_may_not_be_stored_is_not_announced) {
+  Cell C(2);
+  C.Stores_[0]->Mood_ = Mood::LosesAnswers;
+  C.append(0);
+  cr_assert(C.Announced_.empty());
+}
