A worker is kept free for a waiting large accelerator task

Change: a step whose tasks need more than half of a worker's accelerators, has no candidate and is within its objective keeps the worker that is emptiest, allowed ones first, until it fits. At most a quarter of the workers are kept.

--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -80,6 +80,7 @@
   const Step &P = *findStep(S, Id);
   Resources Size = workflow::chargedSize(Spec);
   const Worker *Best = nullptr;
+  std::tuple<bool, std::int64_t, std::int64_t> BestRank;
   for (const auto &[Name, W] : S.Workers_) {
     bool Suits =
         takesTasks(W, Now) && W.Info_.Service_ == J.Queue_.Service_ &&
@@ -87,8 +88,13 @@
         (Spec.RequiredLabel_.empty() ||
          W.Info_.Labels_.count(Spec.RequiredLabel_)) &&
         (Spec.MaxPerWorker_ == 0 || tasksOn(W, Id) < Spec.MaxPerWorker_);
-    if (Suits && (!Best || freeRoom(W).Cpu_ > freeRoom(*Best).Cpu_))
+    bool Allowed = P.Permits_.count(Name) > 0;
+    auto Rank =
+        std::tuple(Allowed, freeRoom(W).Accelerators_, freeRoom(W).Cpu_);
+    if (Suits && (!Best || Rank > BestRank)) {
       Best = &W;
+      BestRank = Rank;
+    }
   }
   if (!Best)
     return;
@@ -241,6 +247,26 @@
   P.DeniedRecheckAt_ = Now + Interval;
 }
 
+/// Large tasks wait for a worker to empty; small ones would fill it again and
+/// again. At most a quarter of the workers are kept free for them.
+bool mayReserve(const State &S, const StepId &Id, TimePoint Now) {
+  constexpr std::size_t WorkersPerReserved = 4;
+  const Job &J = S.Jobs_.at(Id.Job_);
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  if (Now > J.DueAt_ || Spec.Size_.Accelerators_ == 0)
+    return false;
+  std::set<WorkerId> Reserved;
+  for (const Reservation &R : S.Reservations_)
+    if (!(R.Step_ == Id))
+      Reserved.insert(R.Worker_);
+  bool Large = false;
+  for (const auto &[Name, W] : S.Workers_)
+    Large |= W.Info_.Capacity_.Accelerators_ > 0 &&
+             Spec.Size_.Accelerators_ * 2 > W.Info_.Capacity_.Accelerators_;
+  return Large &&
+         (Reserved.size() + 1) * WorkersPerReserved <= S.Workers_.size();
+}
+
 void placeStep(State &S, const StepId &Id, TimePoint Now, Outbox &Out) {
   const workflow::StepSpec &Spec = *findSpec(S, Id);
   Step &P = *findStep(S, Id);
@@ -250,7 +276,7 @@
   std::vector<Candidate> All = candidates(S, Id, Now);
   if (All.empty()) {
     askAgainIfAllDenied(S, Id, Now);
-    if (Spec.LongRunning_)
+    if (Spec.LongRunning_ || mayReserve(S, Id, Now))
       reserveLargest(S, Id, Now);
     return;
   }
