--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -3,8 +3,8 @@
 #include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
 #include "fleet/follower.hpp"
+#include "fleet/owned_slices.hpp"
 #include "fleet/policy_calls.hpp"
-#include "fleet/slice_owner.hpp"
 #include "fleet/worker_registry.hpp"
 #include "observe/observe.hpp"
 #include "process.hpp"
@@ -176,8 +176,7 @@
         {{"version", Catalog_.Version_}, {"queues", Catalog_.Queues_.size()}});
     for (const workflow::Service &S : Catalog_.Services_)
       followPartition(intake::partitionOf(S.Name_));
-    for (auto &[Slice, Owner] : Owners_)
-      Owner->onCatalog();
+    Slices_.onCatalog();
     wake();
   }
 
@@ -186,9 +185,7 @@
     ledger::Change Change = ledger::apply(Copy.Replica_, R);
     if (Change.Kind_ == ledger::Change::Kind::None)
       return;
-    for (auto &[Slice, Owner] : Owners_)
-      if (intake::partitionOf(Slice) == Number)
-        Owner->onRecord(Change);
+    Slices_.onRecord(Number, Change);
   }
 
   // --- owning slices -------------------------------------------------------
@@ -223,53 +220,22 @@
                   });
   }
 
-  /// Starts owners of new claims and ends those of lost ones.
   void syncOwners() {
-    for (auto It = Owners_.begin(); It != Owners_.end();) {
-      auto Own = Claims_.Owned_.find(It->first);
-      bool Lost = Own == Claims_.Owned_.end() ||
-                  Own->second.Number_ != OwnerClaims_[It->first];
-      if (It->second->isOver() && !Lost)
-        ownership::drop(Claims_, It->first);
-      if (!Lost && !It->second->isOver()) {
-        ++It;
-        continue;
-      }
-      It->second->stop();
-      observe::log(Level::Info, "slice-left", {{"slice", It->first}});
-      It = Owners_.erase(It);
-    }
-    for (const auto &[Slice, Own] : Claims_.Owned_)
-      if (!Owners_.count(Slice))
-        startOwner(Slice, Own);
+    Slices_.sync(Claims_);
     for (auto &[Number, Copy] : Intake_.Partitions_)
       Copy.Tail_.Options_.Spacing_ = spacingOf(Number);
-    if (Owners_.empty())
+    if (Slices_.empty())
       Registry_.leave();
   }
 
   Milliseconds spacingOf(std::uint32_t Number) const {
-    if (ownsPartition(Number))
+    if (Slices_.ownsPartition(Number))
       return OwnerSpacing;
     return Store_.announces() ? CopySpacing : LargeFleetSpacing;
   }
 
-  bool ownsPartition(std::uint32_t Number) const {
-    for (const auto &[Slice, Owner] : Owners_)
-      if (intake::partitionOf(Slice) == Number)
-        return true;
-    return false;
-  }
-
-  void startOwner(const ownership::SliceName &Slice,
-                  const ownership::Owned &Own) {
-    observe::log(Level::Info, "slice-claimed",
-                 {{"slice", Slice},
-                  {"claim", Own.Number_},
-                  {"generation", Own.Generation_},
-                  {"predecessor", toString(Own.Before_)}});
+  SliceContext contextFor(std::uint32_t Partition) {
     Registry_.follow();
-    std::uint32_t Partition = intake::partitionOf(Slice);
     followPartition(Partition);
     SliceContext Context;
     Context.Client_ = &Client_;
@@ -283,9 +249,7 @@
     Context.Wake_ = [this] { wake(); };
     Context.MaxLease_ = Boot_.MaxLease_;
     Context.KeepClosed_ = Boot_.ClosedJobsKept_ + ClosedJobsMargin;
-    OwnerClaims_[Slice] = Own.Number_;
-    Owners_[Slice] = std::make_shared<SliceOwner>(
-        std::move(Context), Slice, Partition, Own, Claims_.Options_.SelfFence_);
+    return Context;
   }
 
   // --- callers --------------------------------------------------------------
@@ -307,9 +271,7 @@
     for (const Counters *Part :
          {&Client_.Counters_, &Intake_.Counters_, &Store_.Counters_})
       All.insert(Part->begin(), Part->end());
-    for (const auto &[Slice, Owner] : Owners_)
-      for (const auto &[Name, Value] : Owner->counters())
-        All[Name] += Value;
+    Slices_.addCounters(All);
     for (const auto &[Number, Copy] : Intake_.Partitions_)
       All["record-unreadable"] += Copy.Replica_.Unreadable_;
     All["record-unreadable"] += Claims_.Unreadable_;
@@ -335,15 +297,6 @@
     });
   }
 
-  /// Other entries, as far as their heartbeats are known.
-  void tellPeers() {
-    std::vector<std::string> Addresses;
-    for (const auto &[Name, Node] : Claims_.Nodes_)
-      if (Node.Address_ != Claims_.Options_.Address_ && !Node.Address_.empty())
-        Addresses.push_back(Node.Address_);
-    relay::setPeers(Store_.Router_, std::move(Addresses));
-  }
-
   /// A part of the store that a new owner would need can't be read.
   bool isStoreAway(std::uint32_t Partition) const {
     for (const ledger::Tail *T :
@@ -355,8 +308,9 @@
 
   void turn() {
     bool MayOrder = ownership::mayOrder(Claims_, now());
-    for (auto &[Slice, Owner] : Owners_)
-      Owner->turn(MayOrder, isStoreAway(intake::partitionOf(Slice)));
+    Slices_.turn(MayOrder, [this](std::uint32_t Partition) {
+      return isStoreAway(Partition);
+    });
     Policy_.turn(Claims_);
   }
 
@@ -366,7 +320,7 @@
       if (Err)
         return;
       tickClaims();
-      tellPeers();
+      relay::setPeers(Store_.Router_, ownership::peerAddresses(Claims_));
       Store_.tick();
       intake::tick(Intake_, now());
       for (auto &F : {Config_, ClaimFollower_})
@@ -409,7 +363,7 @@
     StoppingSince_ = now();
     Service_.Closing_ = true;
     Claims_.Stopping_ = true;
-    observe::log(Level::Info, "stopping", {{"slices", Owners_.size()}});
+    observe::log(Level::Info, "stopping", {{"slices", Slices_.size()}});
     tickClaims();
   }
 
@@ -447,26 +401,20 @@
   PolicyCalls Policy_{Peers_, Client_, Counters_,
                       [this](const scheduler::AdviceCall &Call,
                              const scheduler::AdviceReply &Reply) {
-                        for (auto &[Slice, Owner] : Owners_)
-                          Owner->onAdvice(Call, Reply);
+                        Slices_.onAdvice(Call, Reply);
                         wake();
                       }};
   CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
-  WorkerRegistry Registry_{Store_,
-                           Counters_,
-                           {[this](const scheduler::WorkerInfo &Info) {
-                              for (auto &[Slice, Owner] : Owners_)
-                                Owner->onWorker(Info);
-                            },
-                            [this](const WorkerId &Id) {
-                              for (auto &[Slice, Owner] : Owners_)
-                                Owner->onWorkerGone(Id);
-                            },
-                            [this] { wake(); }}};
+  WorkerRegistry Registry_{
+      Store_,
+      Counters_,
+      {[this](const scheduler::WorkerInfo &Info) { Slices_.onWorker(Info); },
+       [this](const WorkerId &Id) { Slices_.onWorkerGone(Id); },
+       [this] { wake(); }}};
 
   ownership::State Claims_;
-  std::map<ownership::SliceName, std::shared_ptr<SliceOwner>> Owners_;
-  std::map<ownership::SliceName, ownership::ClaimNumber> OwnerClaims_;
+  OwnedSlices Slices_{
+      [this](std::uint32_t Partition) { return contextFor(Partition); }};
 
   bool TurnPosted_ = false;
   bool Stopping_ = false;
--- a/apps/pollenvale/fleet/policy_calls.cpp
+++ b/apps/pollenvale/fleet/policy_calls.cpp
@@ -15,11 +15,7 @@
 }
 
 void PolicyCalls::turn(const ownership::State &Claims) {
-  std::vector<std::string> Peers;
-  for (const auto &[Name, Node] : Claims.Nodes_)
-    if (Node.Address_ != Pool_.Self_ && !Node.Address_.empty())
-      Peers.push_back(Node.Address_);
-  advice::setPeers(Pool_, Peers);
+  advice::setPeers(Pool_, ownership::peerAddresses(Claims));
   for (const advice::Expired &X : advice::expire(Pool_, now())) {
     if (!X.Helper_.empty() && X.Helper_ != Pool_.Self_)
       Peers_.suspect(X.Helper_);
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -104,6 +104,8 @@
 /// worker's clock that any owner gives, with its margin.
 TimePoint inheritedLeasesEnd(const Owned &Own, const ledger::Roster &Roster,
                              Milliseconds Lease, Milliseconds SelfFence);
+/// Addresses of the other entries, as far as their heartbeats are known.
+std::vector<std::string> peerAddresses(const State &S);
 /// Forgets an own slice whose claim turned out to be superseded.
 void drop(State &S, const SliceName &Slice);
 /// False when the owner must not send orders: it has not read the claims for so
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -187,6 +187,14 @@
   return Own.ClaimedAt_ + Lease + (Alone ? Milliseconds(0) : SelfFence);
 }
 
+std::vector<std::string> peerAddresses(const State &S) {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Node] : S.Nodes_)
+    if (Node.Address_ != S.Options_.Address_ && !Node.Address_.empty())
+      Out.push_back(Node.Address_);
+  return Out;
+}
+
 void drop(State &S, const SliceName &Slice) { S.Owned_.erase(Slice); }
 
 bool mayOrder(const State &S, TimePoint Now) {
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -37,26 +37,47 @@
     path.write_text(re.sub(pattern, lambda _: new, text))
 
 
-def build():
+def build(targets):
     subprocess.run(["cmake", "-S", COPY, "-B", COPY / "out", "-G", "Ninja"],
                    check=True, stdout=subprocess.DEVNULL)
-    subprocess.run(["ninja", "-C", COPY / "out", "run_scenarios",
-                    "run_schedules"], check=True, stdout=subprocess.DEVNULL)
+    subprocess.run(["ninja", "-C", COPY / "out", *targets], check=True,
+                   stdout=subprocess.DEVNULL)
+
+
+def target_of(scenario):
+    """The program that plays the scenario."""
+    words = scenario.split()
+    if words[0] == "unit":
+        return f"unit_{words[1]}"
+    return {"seeds": "run_schedules",
+            "fleet": "run_fleet_schedules"}.get(words[0], "run_scenarios")
+
+
+def random_schedules_fail(program, first, count):
+    share = (count + JOBS - 1) // JOBS
+    runs = [subprocess.Popen([program, str(first + i * share), str(share)],
+                             stdout=subprocess.PIPE, text=True)
+            for i in range(JOBS)]
+    outputs = [run.communicate()[0] for run in runs]
+    seed = re.search(r"^seed .*", "".join(outputs), re.M)
+    failed = any(run.returncode != 0 for run in runs)
+    return failed, seed.group(0)[:110] if seed else ""
 
 
 def fails(scenario):
     words = scenario.split()
     out = COPY / "out" / "tests"
     if words[0] == "seeds":
-        share = (int(words[2]) + JOBS - 1) // JOBS
-        runs = [subprocess.Popen([out / "run_schedules",
-                                  str(int(words[1]) + i * share), str(share)],
-                                 stdout=subprocess.PIPE, text=True)
-                for i in range(JOBS)]
-        outputs = [run.communicate()[0] for run in runs]
-        seed = re.search(r"^seed .*", "".join(outputs), re.M)
-        failed = any(run.returncode != 0 for run in runs)
-        return failed, seed.group(0)[:110] if seed else ""
+        return random_schedules_fail(out / "run_schedules", int(words[1]),
+                                     int(words[2]))
+    if words[0] == "fleet":
+        return random_schedules_fail(COPY / "out" / "run_fleet_schedules",
+                                     int(words[1]), int(words[2]))
+    if words[0] == "unit":
+        run = subprocess.run([COPY / "out" / f"unit_{words[1]}", "--filter",
+                              words[2]], capture_output=True, text=True)
+        line = re.search(r"\[FAIL\] .*", run.stderr)
+        return run.returncode != 0, line.group(0)[:110] if line else ""
     environment = dict(os.environ, PROMISE_SCENARIO=scenario)
     run = subprocess.run([out / "run_scenarios"], capture_output=True,
                          text=True, env=environment, cwd=COPY / "out")
@@ -66,7 +87,7 @@
 
 def copy_sources():
     """Writes only what differs, so that the build sees what changed."""
-    for name in ["CMakeLists.txt", "packages", "apps", "tests", "bench"]:
+    for name in ["CMakeLists.txt", "packages", "platform", "apps", "tests", "bench"]:
         source = ROOT / name
         files = [source] if source.is_file() else source.rglob("*")
         for file in files:
@@ -85,25 +106,27 @@
     only = sys.argv[1:]
     COPY.mkdir(parents=True, exist_ok=True)
     copy_sources()
-    build()
-    for whole in ["p0-whole-path", "seeds 1 20"]:
-        if fails(whole)[0]:
-            sys.exit(f"{whole} fails with every mechanism in place")
+    mutants = [m for m in read_mutants() if not only or m[0] in only]
+    targets = sorted({target_of(scenario) for _, _, scenario in mutants})
+    build(targets)
+    whole = {"run_scenarios": "p0-whole-path", "run_schedules": "seeds 1 20",
+             "run_fleet_schedules": "fleet 1 20"}
+    for scenario in [whole.get(t, f"unit {t[5:]} *") for t in targets]:
+        if fails(scenario)[0]:
+            sys.exit(f"{scenario} fails with every mechanism in place")
     passed = failed = 0
-    for name, edits, scenario in read_mutants():
-        if only and name not in only:
-            continue
+    for name, edits, scenario in mutants:
         originals = {file: (COPY / file).read_text() for file, _, _ in edits}
         for file, old, new in edits:
             mutate(COPY / file, old, new)
-        build()
+        build([target_of(scenario)])
         caught, line = fails(scenario)
         for file, original in originals.items():
             (COPY / file).write_text(original)
         passed, failed = passed + caught, failed + (not caught)
         print(f"{'fails ' if caught else 'PASSES'} without {name}: "
               f"{scenario}: {line}", flush=True)
-    build()
+    build(targets)
     print(f"{passed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
