Policy calls name more workers and go in the order of waiting steps

A call takes 130 to 370 ms plus 2 to 5 ms a worker, but named only three workers with room for each task, so a step asked up to 10 times; calls waited by priority only, and one that had waited 3 s went to the end.

Change: a call also names workers that have not been asked about and have no room now, as long as naming takes a quarter of the decision; calls are queued like the steps: not worthless, not late, priority, end of the objective.

Tests: unit-order (a burst by objective, 20 of 20 in time, against first come, first served as the baseline), a_call_names_workers_without_room_as_well.

--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -75,10 +75,15 @@
 
 std::vector<Dispatch> dispatch(Pool &P, TimePoint Now) {
   std::vector<Dispatch> Out;
-  std::stable_sort(P.Queue_.begin(), P.Queue_.end(),
-                   [](const Pending &A, const Pending &B) {
-                     return A.Call_.Priority_ < B.Call_.Priority_;
-                   });
+  // The same order as that of waiting steps.
+  auto Key = [Now](const Pending &X) {
+    const AdviceCall &C = X.Call_;
+    return std::tuple(Now > C.WorthlessAt_, Now > C.DueAt_, C.Priority_,
+                      C.DueAt_);
+  };
+  std::stable_sort(
+      P.Queue_.begin(), P.Queue_.end(),
+      [&](const Pending &A, const Pending &B) { return Key(A) < Key(B); });
   for (auto It = P.Queue_.begin(); It != P.Queue_.end();) {
     std::string Name;
     Helper *H = choose(P, It->Call_, Now, Name);
--- /dev/null
+++ b/packages/advice/tests/unit-order.cpp
@@ -0,0 +1,68 @@
+/// Load: a burst of steps that all need the policy, one call at a time, more
+/// than can be served within their objectives.
+#include "advice/advice.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::advice;
+
+namespace {
+
+constexpr TimePoint T0{std::chrono::seconds(10)};
+constexpr Milliseconds CallTime{100};
+
+/// Objectives of 20 steps that came at once, some long and some short.
+std::vector<TimePoint> objectives() {
+  std::vector<TimePoint> Out;
+  for (int I = 0; I < 20; ++I)
+    Out.push_back(T0 + Milliseconds(200 + 100 * ((I * 7) % 20)));
+  return Out;
+}
+
+/// Serves the burst by one entry; returns how many were answered in time.
+int servedInTime(bool KnowsObjectives) {
+  Pool P = makePool("a");
+  std::vector<TimePoint> Due = objectives();
+  for (std::size_t I = 0; I < Due.size(); ++I) {
+    AdviceCall C;
+    C.Step_.Step_ = std::uint32_t(I);
+    C.Expected_ = CallTime;
+    C.DueAt_ = KnowsObjectives ? Due[I] : T0 + Milliseconds(60'000);
+    C.WorthlessAt_ = T0 + Milliseconds(60'000);
+    enqueue(P, C, T0);
+  }
+  int InTime = 0;
+  for (TimePoint Now = T0; Now < T0 + 25 * CallTime; Now += CallTime)
+    for (const Dispatch &D : dispatch(P, Now)) {
+      InTime += Now + CallTime <= Due[D.Call_.Step_.Step_];
+      finish(P, D.Id_, true, Now + CallTime);
+    }
+  return InTime;
+}
+
+} // namespace
+
+Test(order, a_burst_is_served_by_objective) {
+  // Baseline: first come, first served.
+  int Baseline = servedInTime(false);
+  int Ordered = servedInTime(true);
+  cr_assert_eq(Ordered, 20);
+  cr_assert_lt(Baseline, Ordered);
+}
+
+Test(order, what_is_late_goes_after_what_is_not) {
+  Pool P = makePool("a");
+  auto Enqueue = [&](std::uint32_t Step, Milliseconds Due) {
+    AdviceCall C;
+    C.Step_.Step_ = Step;
+    C.Expected_ = CallTime;
+    C.DueAt_ = T0 + Due;
+    C.WorthlessAt_ = T0 + Milliseconds(60'000);
+    enqueue(P, C, T0);
+  };
+  Enqueue(0, Milliseconds(-50));
+  Enqueue(1, Milliseconds(500));
+  auto First = dispatch(P, T0);
+  cr_assert_eq(First.at(0).Call_.Step_.Step_, 1u);
+}
--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -71,6 +71,8 @@
   StepId Step_;
   std::vector<WorkerId> Workers_;
   int Priority_ = 0;
+  TimePoint DueAt_{};        ///< End of the job's objective.
+  TimePoint WorthlessAt_{};  ///< The job is worth nothing after this time.
   Milliseconds Expected_{0}; ///< How long the policy takes.
 };
 
--- a/packages/scheduler/detail/placing.hpp
+++ b/packages/scheduler/detail/placing.hpp
@@ -42,9 +42,16 @@
                                         const std::vector<Candidate> &All,
                                         const WorkerId &FailedOn);
 
-/// Workers to ask the policy about so that \p Tasks tasks find room.
+/// Time after which the job is worth nothing.
+TimePoint worthlessAt(const Job &J);
+
+/// Workers to ask the policy about so that \p Tasks tasks find room: those with
+/// room, and more of \p Unknown as long as naming them costs little beside the
+/// decision, since the answer stays valid.
 std::vector<WorkerId> chooseForAdvice(const workflow::StepSpec &Spec,
+                                      const workflow::AdvicePolicy &Policy,
                                       const std::vector<Candidate> &All,
+                                      const std::vector<WorkerId> &Unknown,
                                       std::uint32_t Tasks);
 
 } // namespace pollenvale::scheduler::detail
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -204,6 +204,28 @@
   return Room >= Spec.Count_;
 }
 
+/// Workers without room now that the policy has not been asked about.
+std::vector<WorkerId> unknownWorkers(const State &S, const StepId &Id,
+                                     const std::vector<Candidate> &All,
+                                     TimePoint Now) {
+  const Job &J = S.Jobs_.at(Id.Job_);
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
+  const Step &P = J.Open_.at(Id.Occurrence_).Steps_[Id.Step_];
+  std::set<WorkerId> Known;
+  for (const Candidate &C : All)
+    Known.insert(C.Worker_->Info_.Id_);
+  std::vector<WorkerId> Out;
+  for (const auto &[Name, W] : S.Workers_)
+    if (!Known.count(Name) && !P.Denied_.count(Name) &&
+        !P.Permits_.count(Name) && takesTasks(W, Now) &&
+        W.Info_.Service_ == J.Queue_.Service_ &&
+        fits(workflow::chargedSize(Spec), W.Info_.Capacity_) &&
+        (Spec.RequiredLabel_.empty() ||
+         W.Info_.Labels_.count(Spec.RequiredLabel_)))
+      Out.push_back(Name);
+  return Out;
+}
+
 void askForAdvice(State &S, const StepId &Id, const std::vector<Candidate> &All,
                   std::uint32_t Tasks, TimePoint Now, Outbox &Out) {
   const Job &J = S.Jobs_.at(Id.Job_);
@@ -215,10 +237,13 @@
     return;
   AdviceCall Call;
   Call.Step_ = Id;
-  Call.Workers_ = chooseForAdvice(Spec, All, Tasks);
+  Call.Workers_ = chooseForAdvice(Spec, *J.Queue_.Advice_, All,
+                                  unknownWorkers(S, Id, All, Now), Tasks);
   if (Call.Workers_.empty())
     return;
   Call.Priority_ = J.Queue_.Priority_;
+  Call.DueAt_ = J.DueAt_;
+  Call.WorthlessAt_ = worthlessAt(J);
   Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
                                              J.Queue_.Advice_->PerWorkerMs_ *
                                                  double(Call.Workers_.size())));
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -40,11 +40,14 @@
 
 } // namespace
 
+TimePoint worthlessAt(const Job &J) {
+  return J.AcceptedAt_ + (J.DueAt_ - J.AcceptedAt_) * WorthlessAfter;
+}
+
 WaitKey waitKey(const Job &J, const Step &, TimePoint Now) {
   WaitKey Key;
-  auto Objective = J.DueAt_ - J.AcceptedAt_;
   Key.Overdue_ = Now > J.DueAt_;
-  Key.Expired_ = Now > J.AcceptedAt_ + Objective * WorthlessAfter;
+  Key.Expired_ = Now > worthlessAt(J);
   Key.Priority_ = J.Queue_.Priority_;
   Key.DueAt_ = J.DueAt_;
   Key.AcceptedAt_ = J.AcceptedAt_;
@@ -84,12 +87,28 @@
   return Best;
 }
 
+namespace {
+
+constexpr std::size_t MaxNamed = 30;
+
+/// Workers whose naming takes a quarter of the decision's time.
+std::size_t cheaplyNamed(const workflow::AdvicePolicy &Policy) {
+  constexpr double NamingShare = 0.25;
+  if (Policy.PerWorkerMs_ <= 0)
+    return MaxNamed;
+  double Count = Policy.DecisionMs_ * NamingShare / Policy.PerWorkerMs_;
+  return std::min(MaxNamed, std::size_t(std::max(Count, 0.0)));
+}
+
+} // namespace
+
 std::vector<WorkerId> chooseForAdvice(const workflow::StepSpec &Spec,
+                                      const workflow::AdvicePolicy &Policy,
                                       const std::vector<Candidate> &All,
+                                      const std::vector<WorkerId> &Unknown,
                                       std::uint32_t Tasks) {
   /// The policy allows a part of the workers only; more than needed are named.
   constexpr std::uint32_t NamedPerNeeded = 3;
-  constexpr std::size_t MaxNamed = 30;
   std::vector<const Candidate *> Order;
   for (const Candidate &C : All)
     if (!C.Permitted_ && capacityFor(Spec, C) > 0)
@@ -100,15 +119,21 @@
                        return A->Allowed_;
                      return costOf(Spec, *A, {}) < costOf(Spec, *B, {});
                    });
+  std::size_t Cheap = cheaplyNamed(Policy);
   std::vector<WorkerId> Out;
   std::uint64_t Certain = 0, Hoped = 0;
   for (const Candidate *C : Order) {
-    if (Certain >= Tasks || Hoped >= std::uint64_t(Tasks) * NamedPerNeeded ||
-        Out.size() >= MaxNamed)
+    bool Enough =
+        Certain >= Tasks || Hoped >= std::uint64_t(Tasks) * NamedPerNeeded;
+    if (Out.size() >= MaxNamed || (Enough && Out.size() >= Cheap) ||
+        (Enough && C->Allowed_))
       break;
     Out.push_back(C->Worker_->Info_.Id_);
     (C->Allowed_ ? Certain : Hoped) += capacityFor(Spec, *C);
   }
+  for (const WorkerId &W : Unknown)
+    if (!Out.empty() && Out.size() < Cheap && Certain < Tasks)
+      Out.push_back(W);
   return Out;
 }
 
--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -58,3 +58,23 @@
   C.run(Milliseconds(3'000));
   cr_assert_eq(C.AdviceCalls_, Before);
 }
+
+Test(permits, a_call_names_workers_without_room_as_well) {
+  // Naming a worker costs little beside a decision, and the answer stays valid
+  // until the worker has room.
+  AskingCell C;
+  C.Allows_ = [](const WorkerId &W) { return W == "d"; };
+  C.FateOf_ = [](const TaskId &, std::uint32_t) {
+    return Fate{Milliseconds(1'000)};
+  };
+  C.submit("j1", plainJob({plainStep(8)}));
+  C.run(Milliseconds(300));
+  std::uint64_t Before = C.AdviceCalls_;
+  C.submit("j2", plainJob({plainStep(1)}));
+  C.run(Milliseconds(600));
+  const scheduler::Step &P =
+      C.owner().State_.Jobs_.at("j2").Open_.at(0).Steps_[0];
+  cr_assert_eq(P.Permits_.count("d"), 1u, "it was full when it was named");
+  cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
+  cr_assert_eq(C.AdviceCalls_, Before + 1);
+}
