One rule for which workers could take a task; repeated questions only if all deny

Found by reading the diff: the conditions under which a worker could take a task of a step stood in four places (couldTake now); a step was asked about again when no candidate had room, not only when the policy denies it on every worker (test a_step_denied_everywhere_is_asked_about_again); messages with a type byte were decoded twice in the same way (packTagged, unpackTagged).

--- a/packages/advice/src/messages.cpp
+++ b/packages/advice/src/messages.cpp
@@ -9,19 +9,14 @@
 
 } // namespace
 
-std::string encode(const AskMessage &M) { return AskTag + pack(M); }
-std::string encode(const TellMessage &M) { return TellTag + pack(M); }
+std::string encode(const AskMessage &M) { return packTagged(AskTag, M); }
+std::string encode(const TellMessage &M) { return packTagged(TellTag, M); }
 
 Message decode(const std::string &Bytes) {
-  if (Bytes.empty())
-    return {};
-  std::string_view Body(Bytes.data() + 1, Bytes.size() - 1);
-  if (Bytes[0] == AskTag)
-    if (auto M = unpack<AskMessage>(Body))
-      return std::move(*M);
-  if (Bytes[0] == TellTag)
-    if (auto M = unpack<TellMessage>(Body))
-      return std::move(*M);
+  if (auto Ask = unpackTagged<AskMessage>(AskTag, Bytes))
+    return std::move(*Ask);
+  if (auto Tell = unpackTagged<TellMessage>(TellTag, Bytes))
+    return std::move(*Tell);
   return {};
 }
 
--- a/packages/base/detail/packing.hpp
+++ b/packages/base/detail/packing.hpp
@@ -24,4 +24,17 @@
   }
 }
 
+/// A record behind one byte that tells its type.
+template <class T> std::string packTagged(char Tag, const T &Record) {
+  return Tag + pack(Record);
+}
+
+/// Empty when \p Bytes are no record of that type.
+template <class T>
+std::optional<T> unpackTagged(char Tag, std::string_view Bytes) {
+  if (Bytes.empty() || Bytes[0] != Tag)
+    return std::nullopt;
+  return unpack<T>(Bytes.substr(1));
+}
+
 } // namespace pollenvale
--- a/packages/relay/detail/store.hpp
+++ b/packages/relay/detail/store.hpp
@@ -41,7 +41,7 @@
   void newest(ledger::NewestCall Call,
               ledger::Done<ledger::NewestReply> Done) override;
 
-  /// Whether stored records are announced to so many entries.
+  /// Whether records are announced in a fleet of this size.
   bool announces() const;
   /// A frame of another entry.
   void onMessage(Message M);
--- a/packages/relay/src/store.cpp
+++ b/packages/relay/src/store.cpp
@@ -49,23 +49,23 @@
   bool mayRepeat() const { return !Ask_.ExpectedEnd_; }
 };
 
-void RelayStore::append(AppendCall Call_, Done<AppendReply> Done) {
+void RelayStore::append(AppendCall Wanted, Done<AppendReply> Done) {
   auto C = std::make_shared<Call>();
-  C->Ask_ = makeAsk(Call_);
+  C->Ask_ = makeAsk(Wanted);
   C->Done_ = [Done](const TellMessage &M) { Done(appendReply(M)); };
   begin(std::move(C));
 }
 
-void RelayStore::read(ReadCall Call_, Done<ReadReply> Done) {
+void RelayStore::read(ReadCall Wanted, Done<ReadReply> Done) {
   auto C = std::make_shared<Call>();
-  C->Ask_ = makeAsk(Call_);
+  C->Ask_ = makeAsk(Wanted);
   C->Done_ = [Done](TellMessage M) { Done(readReply(std::move(M))); };
   begin(std::move(C));
 }
 
-void RelayStore::newest(NewestCall Call_, Done<NewestReply> Done) {
+void RelayStore::newest(NewestCall Wanted, Done<NewestReply> Done) {
   auto C = std::make_shared<Call>();
-  C->Ask_ = makeAsk(Call_);
+  C->Ask_ = makeAsk(Wanted);
   C->Done_ = [Done](TellMessage M) { Done(newestReply(std::move(M))); };
   begin(std::move(C));
 }
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -49,6 +49,11 @@
 /// Whether new tasks may start there.
 bool takesTasks(const Worker &W, TimePoint Now);
 
+/// Whether an empty \p W could take a task of the step, as far as the policy is
+/// not concerned.
+bool couldTake(const Worker &W, const Job &J, const workflow::StepSpec &Spec,
+               TimePoint Now);
+
 /// An answer of a worker got lost.
 void noteLoss(State &S, TimePoint Now);
 /// Accounts for a lease of \p Length that is given now.
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -78,15 +78,11 @@
   const workflow::StepSpec &Spec = *findSpec(S, Id);
   const Job &J = S.Jobs_.at(Id.Job_);
   const Step &P = *findStep(S, Id);
-  Resources Size = workflow::chargedSize(Spec);
   const Worker *Best = nullptr;
   std::tuple<bool, std::int64_t, std::int64_t> BestRank;
   for (const auto &[Name, W] : S.Workers_) {
     bool Suits =
-        takesTasks(W, Now) && W.Info_.Service_ == J.Queue_.Service_ &&
-        !P.Denied_.count(Name) && fits(Size, W.Info_.Capacity_) &&
-        (Spec.RequiredLabel_.empty() ||
-         W.Info_.Labels_.count(Spec.RequiredLabel_)) &&
+        couldTake(W, J, Spec, Now) && !P.Denied_.count(Name) &&
         (Spec.MaxPerWorker_ == 0 || tasksOn(W, Id) < Spec.MaxPerWorker_);
     bool Allowed = P.Permits_.count(Name) > 0;
     auto Rank =
@@ -110,12 +106,7 @@
   Resources Size = workflow::chargedSize(Spec);
   std::vector<Candidate> Out;
   for (auto &[WorkerName, W] : S.Workers_) {
-    if (!takesTasks(W, Now) || W.Info_.Service_ != J.Queue_.Service_)
-      continue;
-    if (!Spec.RequiredLabel_.empty() &&
-        !W.Info_.Labels_.count(Spec.RequiredLabel_))
-      continue;
-    if (P.Denied_.count(WorkerName))
+    if (!couldTake(W, J, Spec, Now) || P.Denied_.count(WorkerName))
       continue;
     Candidate C{&W, freeRoom(W) - reservedByOthers(S, WorkerName, Id)};
     if (!fits(Size, C.Free_))
@@ -217,11 +208,7 @@
   std::vector<WorkerId> Out;
   for (const auto &[Name, W] : S.Workers_)
     if (!Known.count(Name) && !P.Denied_.count(Name) &&
-        !P.Permits_.count(Name) && takesTasks(W, Now) &&
-        W.Info_.Service_ == J.Queue_.Service_ &&
-        fits(workflow::chargedSize(Spec), W.Info_.Capacity_) &&
-        (Spec.RequiredLabel_.empty() ||
-         W.Info_.Labels_.count(Spec.RequiredLabel_)))
+        !P.Permits_.count(Name) && couldTake(W, J, Spec, Now))
       Out.push_back(Name);
   return Out;
 }
@@ -261,10 +248,14 @@
 /// now and then.
 void askAgainIfAllDenied(State &S, const StepId &Id, TimePoint Now) {
   constexpr Milliseconds Interval{4'000};
+  const Job &J = S.Jobs_.at(Id.Job_);
+  const workflow::StepSpec &Spec = *findSpec(S, Id);
   Step &P = *findStep(S, Id);
-  if (P.Denied_.empty() || !P.Permits_.empty() || P.AdviceInFlight_ ||
-      Now < P.DeniedRecheckAt_)
+  if (P.Denied_.empty() || P.AdviceInFlight_ || Now < P.DeniedRecheckAt_)
     return;
+  for (const auto &[Name, W] : S.Workers_)
+    if (couldTake(W, J, Spec, Now) && !P.Denied_.count(Name))
+      return;
   if (P.DeniedRecheckAt_ != TimePoint{}) {
     count(S.Counters_, "advice-all-denied");
     P.Denied_.clear();
--- a/packages/scheduler/src/waiting.cpp
+++ b/packages/scheduler/src/waiting.cpp
@@ -23,11 +23,7 @@
   WorkerTally Out;
   Resources Size = workflow::chargedSize(Spec);
   for (const auto &[Name, W] : S.Workers_) {
-    bool Suits = takesTasks(W, Now) && W.Info_.Service_ == J.Queue_.Service_ &&
-                 fits(Size, W.Info_.Capacity_) &&
-                 (Spec.RequiredLabel_.empty() ||
-                  W.Info_.Labels_.count(Spec.RequiredLabel_));
-    if (!Suits)
+    if (!couldTake(W, J, Spec, Now))
       continue;
     bool Denied = P.Denied_.count(Name) > 0;
     ++Out.Usable_;
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -52,6 +52,14 @@
          W.Misses_ < MissesBeforeAvoiding && Now >= W.AvoidUntil_;
 }
 
+bool couldTake(const Worker &W, const Job &J, const workflow::StepSpec &Spec,
+               TimePoint Now) {
+  return takesTasks(W, Now) && W.Info_.Service_ == J.Queue_.Service_ &&
+         fits(workflow::chargedSize(Spec), W.Info_.Capacity_) &&
+         (Spec.RequiredLabel_.empty() ||
+          W.Info_.Labels_.count(Spec.RequiredLabel_));
+}
+
 void noteLoss(State &S, TimePoint Now) { S.LossyUntil_ = Now + LossyTime; }
 
 void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now) {
--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -78,3 +78,14 @@
   cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
   cr_assert_eq(C.AdviceCalls_, Before + 1);
 }
+
+Test(permits, a_step_denied_everywhere_is_asked_about_again) {
+  AskingCell C;
+  C.Allows_ = [](const WorkerId &) { return false; };
+  C.submit("j1", plainJob({plainStep(2)}));
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.AdviceCalls_, 1u);
+  C.Allows_ = [](const WorkerId &W) { return W == "c"; };
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
+                       Milliseconds(6'000)));
+}
