A late heartbeat of an earlier process does not show that an owner has ended

Cause: found by reading. An owner counts as ended when its VM's newest heartbeat is of another process.

Change: heartbeats and claims carry the end of the claims partition that their process read first; only a later process of the VM shows the end of an earlier one. The first heartbeat follows the first reading of the claims.

Test: a_late_heartbeat_of_an_earlier_process_proves_no_end.

--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -20,14 +20,18 @@
   /// offset of its record plus 1.
   ClaimNumber GivenUp_ = 0;
   std::string Address_; ///< The holder's, as in its NodeRecord.
-  MSGPACK_DEFINE(Holder_, Generation_, GivenUp_, Address_)
+  Offset BornAt_ = 0;   ///< The holder's, as in its NodeRecord.
+  MSGPACK_DEFINE(Holder_, Generation_, GivenUp_, Address_, BornAt_)
 };
 
 /// Heartbeat of an entry.
 struct NodeRecord {
   NodeId Node_;
   std::string Address_; ///< For messages between entries.
-  MSGPACK_DEFINE(Node_, Address_)
+  /// End of the claims partition that the process read first; 0 before that.
+  /// Grows with each process of a VM.
+  Offset BornAt_ = 0;
+  MSGPACK_DEFINE(Node_, Address_, BornAt_)
 };
 
 enum class RecordKind { Claim, Node, Unknown };
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -25,7 +25,8 @@
   ClaimNumber Number = Offset + 1;
   if (Number <= View.Number_)
     return;
-  View = SliceView{Number, R.Holder_, R.Address_, R.Generation_, false, Now};
+  View = SliceView{Number,        R.Holder_, R.Address_, R.BornAt_,
+                   R.Generation_, false,     Now};
   auto Own = S.Owned_.find(Slice);
   if (Own != S.Owned_.end() && Own->second.Number_ < Number)
     S.Owned_.erase(Own);
@@ -43,10 +44,12 @@
 Predecessor predecessorOf(const State &S, const SliceView &View) {
   if (View.Number_ == 0 || View.GivenUp_)
     return Predecessor::None;
-  // The holder's process has ended if its VM runs another one. A VM of the same
-  // name at another address may be a replacement that runs beside it.
+  // The holder's process has ended if its VM runs a later one. A VM of the same
+  // name at another address may be a replacement that runs beside it, and a
+  // heartbeat of an earlier process may be stored late.
   auto It = S.Nodes_.find(nodeName(View.Holder_));
   bool Ended = It != S.Nodes_.end() && It->second.Node_ != View.Holder_ &&
+               It->second.BornAt_ > View.BornAt_ &&
                It->second.Address_ == View.Address_;
   return Ended ? Predecessor::Ended : Predecessor::MayRun;
 }
@@ -85,7 +88,7 @@
     if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice))
       continue;
     ClaimRecord R{S.Options_.Self_, View.Generation_ + 1, 0,
-                  S.Options_.Address_};
+                  S.Options_.Address_, S.BornAt_};
     Out.push_back({Write::Kind::Claim, Slice, makeClaim(Slice, R), End,
                    R.Generation_, predecessorOf(S, View), View.Number_});
     S.Claiming_.insert(Slice);
@@ -95,7 +98,7 @@
 void giveUpSlices(State &S, std::vector<Write> &Out) {
   for (const auto &[Slice, Own] : S.Owned_) {
     ClaimRecord R{S.Options_.Self_, Own.Generation_, Own.Number_,
-                  S.Options_.Address_};
+                  S.Options_.Address_, S.BornAt_};
     Out.push_back({Write::Kind::GiveUp, Slice, makeClaim(Slice, R), {}});
   }
   S.Owned_.clear();
@@ -118,7 +121,8 @@
   } else if (kindOf(R.Key_) == RecordKind::Node) {
     auto Node = parseNode(R.Value_);
     if (Node)
-      S.Nodes_[Name] = NodeView{Node->Address_, Node->Node_, Now};
+      S.Nodes_[Name] =
+          NodeView{Node->Address_, Node->Node_, Node->BornAt_, Now};
     S.Unreadable_ += !Node;
   }
 }
@@ -150,6 +154,7 @@
   View = SliceView{Reply.First_ + 1,
                    S.Options_.Self_,
                    S.Options_.Address_,
+                   S.BornAt_,
                    W.Generation_,
                    false,
                    Now};
@@ -164,13 +169,16 @@
     giveUpSlices(S, Out);
     return Out;
   }
+  if (End && S.BornAt_ == 0)
+    S.BornAt_ = *End + 1;
   if (End && elapsed(S.ContactAt_, Now) < ContactGap)
     claimFreeSlices(S, Wanted, *End, Now, Out);
   const Options &O = S.Options_;
   Milliseconds Interval = S.Owned_.empty() ? O.IdleBeat_ : O.OwnerBeat_;
-  bool Due = S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval;
+  bool Due = S.BornAt_ != 0 &&
+             (S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval);
   if (Due && !S.BeatInFlight_) {
-    NodeRecord R{O.Self_, O.Address_};
+    NodeRecord R{O.Self_, O.Address_, S.BornAt_};
     Out.push_back({Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), {}});
     S.BeatInFlight_ = true;
     S.BeatSentAt_ = Now;
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -201,7 +201,8 @@
   Cell C(2);
   C.run(Milliseconds(1'000));
   std::size_t First = C.owners()[0];
-  NodeRecord Other{nodeName(C.Entries_[First].Options_.Self_) + ".2", "new:1"};
+  NodeRecord Other{nodeName(C.Entries_[First].Options_.Self_) + ".2", "new:1",
+                   1'000};
   C.Silent_.insert(First);
   ledger::KeyedRecord R = makeNode(nodeName(Other.Node_), Other);
   R.Offset_ = C.Log_.size();
@@ -231,3 +232,35 @@
   cr_assert(inheritedLeasesEnd(Own, Settled, Lease, SelfFence) ==
             Claimed + Lease + SelfFence);
 }
+
+Test(claims, a_late_heartbeat_of_an_earlier_process_proves_no_end) {
+  Cell C(1);
+  C.run(Milliseconds(1'000));
+  ledger::KeyedRecord Earlier;
+  for (const ledger::KeyedRecord &R : C.Log_)
+    if (kindOf(R.Key_) == RecordKind::Node)
+      Earlier = R;
+  State Restarted;
+  Restarted.Options_ = C.Entries_[0].Options_;
+  Restarted.Options_.Self_ = "n0.2";
+  for (const ledger::KeyedRecord &R : C.Log_)
+    onRecord(Restarted, R, C.Now_);
+  C.Entries_[0] = Restarted;
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(C.owners().size(), 1u);
+  // Another entry reads the old heartbeat as the newest one of that VM.
+  State Other;
+  Other.Options_.Self_ = "n1.1";
+  Other.Options_.Address_ = "n1:1";
+  for (const ledger::KeyedRecord &R : C.Log_)
+    onRecord(Other, R, C.Now_);
+  Earlier.Offset_ = C.Log_.size();
+  onRecord(Other, Earlier, C.Now_);
+  TimePoint Now = C.Now_;
+  for (int I = 0; I < 60; ++I) {
+    Now += Milliseconds(25);
+    onContact(Other, Now, Now);
+    for (const Write &W : tick(Other, {"s"}, C.Log_.size(), Now))
+      cr_assert(W.Kind_ != Write::Kind::Claim, "the owner is not silent yet");
+  }
+}
