--- a/apps/pollenvale/fleet/peer_channel.cpp
+++ b/apps/pollenvale/fleet/peer_channel.cpp
@@ -17,8 +17,9 @@
 
 bool PeerChannel::send(const std::string &Address, FrameKind Kind,
                        const std::string &Body) {
-  if (Suspects_.erase(Address))
-    Socket_->send(Address, char(FrameKind::Redial) + Self_);
+  if (Suspects_.count(Address) &&
+      Socket_->send(Address, char(FrameKind::Redial) + Self_))
+    Suspects_.erase(Address);
   if (Socket_->send(Address, char(Kind) + Body))
     return true;
   count(Counters_, "peer-frame-dropped");
--- a/apps/pollenvale/fleet/policy_calls.cpp
+++ b/apps/pollenvale/fleet/policy_calls.cpp
@@ -34,7 +34,7 @@
               });
     return;
   }
-  advice::AskMessage M{D.Id_, Pool_.Self_, Step, D.Call_.Workers_};
+  advice::RequestMessage M{D.Id_, Pool_.Self_, Step, D.Call_.Workers_};
   Peers_.send(D.Helper_, FrameKind::Advice, advice::encode(M));
 }
 
@@ -52,9 +52,9 @@
 
 void PolicyCalls::onPeer(const std::string &Bytes) {
   advice::Message M = advice::decode(Bytes);
-  if (auto *Ask = std::get_if<advice::AskMessage>(&M)) {
+  if (auto *Ask = std::get_if<advice::RequestMessage>(&M)) {
     answerPeer(*Ask);
-  } else if (auto *Tell = std::get_if<advice::TellMessage>(&M)) {
+  } else if (auto *Tell = std::get_if<advice::ReplyMessage>(&M)) {
     scheduler::AdviceReply Reply{
         Tell->Answered_, {}, Milliseconds(Tell->ValidityMs_)};
     for (const advice::PermitText &Row : Tell->Rows_)
@@ -65,11 +65,11 @@
   }
 }
 
-void PolicyCalls::answerPeer(const advice::AskMessage &Ask) {
+void PolicyCalls::answerPeer(const advice::RequestMessage &Ask) {
   askPolicy(
       Ask.Step_, Ask.Workers_,
       [this, Id = Ask.Id_, To = Ask.ReplyTo_](const scheduler::AdviceReply &R) {
-        advice::TellMessage M{
+        advice::ReplyMessage M{
             Id, R.Answered_, {}, std::uint32_t(R.Validity_.count())};
         for (const scheduler::PermitRow &Row : R.Rows_)
           M.Rows_.push_back({Row.Worker_, Row.Permit_});
--- a/apps/pollenvale/fleet/policy_calls.hpp
+++ b/apps/pollenvale/fleet/policy_calls.hpp
@@ -31,7 +31,7 @@
                  std::function<void(scheduler::AdviceReply)> Done);
   void onReply(CallId Id, const scheduler::AdviceReply &Reply);
   void onPeer(const std::string &Bytes);
-  void answerPeer(const advice::AskMessage &Ask);
+  void answerPeer(const advice::RequestMessage &Ask);
 
   PeerChannel &Peers_;
   platform::Client &Client_;
--- a/packages/advice/detail/messages.hpp
+++ b/packages/advice/detail/messages.hpp
@@ -8,7 +8,7 @@
 
 namespace pollenvale::advice {
 
-struct AskMessage {
+struct RequestMessage {
   CallId Id_ = 0;
   std::string ReplyTo_; ///< Peer address of the entry that wants to know.
   std::string Step_;
@@ -22,7 +22,7 @@
   MSGPACK_DEFINE(Worker_, Permit_)
 };
 
-struct TellMessage {
+struct ReplyMessage {
   CallId Id_ = 0;
   bool Answered_ = false;
   std::vector<PermitText> Rows_;
@@ -30,10 +30,10 @@
   MSGPACK_DEFINE(Id_, Answered_, Rows_, ValidityMs_)
 };
 
-using Message = std::variant<std::monostate, AskMessage, TellMessage>;
+using Message = std::variant<std::monostate, RequestMessage, ReplyMessage>;
 
-std::string encode(const AskMessage &M);
-std::string encode(const TellMessage &M);
+std::string encode(const RequestMessage &M);
+std::string encode(const ReplyMessage &M);
 /// std::monostate when \p Bytes are no such message.
 Message decode(const std::string &Bytes);
 
--- a/packages/advice/src/messages.cpp
+++ b/packages/advice/src/messages.cpp
@@ -4,19 +4,21 @@
 
 namespace {
 
-constexpr char AskTag = 'a';
-constexpr char TellTag = 't';
+constexpr char RequestTag = 'a';
+constexpr char ReplyTag = 't';
 
 } // namespace
 
-std::string encode(const AskMessage &M) { return packTagged(AskTag, M); }
-std::string encode(const TellMessage &M) { return packTagged(TellTag, M); }
+std::string encode(const RequestMessage &M) {
+  return packTagged(RequestTag, M);
+}
+std::string encode(const ReplyMessage &M) { return packTagged(ReplyTag, M); }
 
 Message decode(const std::string &Bytes) {
-  if (auto Ask = unpackTagged<AskMessage>(AskTag, Bytes))
-    return std::move(*Ask);
-  if (auto Tell = unpackTagged<TellMessage>(TellTag, Bytes))
-    return std::move(*Tell);
+  if (auto Request = unpackTagged<RequestMessage>(RequestTag, Bytes))
+    return std::move(*Request);
+  if (auto Reply = unpackTagged<ReplyMessage>(ReplyTag, Bytes))
+    return std::move(*Reply);
   return {};
 }
 
--- a/packages/advice/tests/unit-pool.cpp
+++ b/packages/advice/tests/unit-pool.cpp
@@ -68,11 +68,11 @@
 }
 
 Test(pool, messages_are_read_back) {
-  AskMessage Ask{7, "a:1", "job.0.1", {"w1", "w2"}};
+  RequestMessage Ask{7, "a:1", "job.0.1", {"w1", "w2"}};
   Message M = decode(encode(Ask));
-  cr_assert_eq(std::get<AskMessage>(M).Workers_.size(), 2u);
-  TellMessage Tell{7, true, {{"w1", "permit"}}, 2'000};
-  cr_assert_eq(std::get<TellMessage>(decode(encode(Tell))).Rows_[0].Permit_,
+  cr_assert_eq(std::get<RequestMessage>(M).Workers_.size(), 2u);
+  ReplyMessage Tell{7, true, {{"w1", "permit"}}, 2'000};
+  cr_assert_eq(std::get<ReplyMessage>(decode(encode(Tell))).Rows_[0].Permit_,
                "permit");
   for (const char *Bad : {"", "x", "a\x01", "t"})
     cr_assert(std::holds_alternative<std::monostate>(decode(Bad)));
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -29,8 +29,8 @@
 struct SliceView {
   ClaimNumber Number_ = 0;
   NodeId Holder_;
-  std::string Address_; ///< Of the holder.
-  Offset BornAt_ = 0;   ///< Of the holder.
+  std::string Address_;    ///< Of the holder.
+  Offset StartOffset_ = 0; ///< Of the holder.
   std::uint32_t Generation_ = 0;
   bool GivenUp_ = false;
   TimePoint SeenAt_{};    ///< When the claim was read.
@@ -41,7 +41,7 @@
 struct NodeView {
   std::string Address_;
   NodeId Node_;
-  Offset BornAt_ = 0;
+  Offset StartOffset_ = 0;
   TimePoint SeenAt_{};
 };
 
@@ -72,7 +72,7 @@
   TimePoint ContactAt_{};        ///< Last answer of the store.
   /// Every claim that was stored before this time has been read.
   TimePoint CurrentAt_{};
-  Offset BornAt_ = 0; ///< End of the claims when they were first read.
+  Offset StartOffset_ = 0; ///< End of the claims when they were first read.
   TimePoint BeatSentAt_{};
   bool BeatInFlight_ = false;
   bool Stopping_ = false;
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -19,9 +19,9 @@
   /// Number of the claim given up; 0 for a new claim, whose number is the
   /// offset of its record plus 1.
   ClaimNumber GivenUp_ = 0;
-  std::string Address_; ///< The holder's, as in its NodeRecord.
-  Offset BornAt_ = 0;   ///< The holder's, as in its NodeRecord.
-  MSGPACK_DEFINE(Holder_, Generation_, GivenUp_, Address_, BornAt_)
+  std::string Address_;    ///< The holder's, as in its NodeRecord.
+  Offset StartOffset_ = 0; ///< The holder's, as in its NodeRecord.
+  MSGPACK_DEFINE(Holder_, Generation_, GivenUp_, Address_, StartOffset_)
 };
 
 /// Heartbeat of an entry.
@@ -29,9 +29,9 @@
   NodeId Node_;
   std::string Address_; ///< For messages between entries.
   /// End of the claims partition that the process read first; 0 before that.
-  /// Grows with each process of a VM.
-  Offset BornAt_ = 0;
-  MSGPACK_DEFINE(Node_, Address_, BornAt_)
+  /// Larger for each later process of a VM.
+  Offset StartOffset_ = 0;
+  MSGPACK_DEFINE(Node_, Address_, StartOffset_)
 };
 
 enum class RecordKind { Claim, Node, Unknown };
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -25,7 +25,7 @@
   ClaimNumber Number = Offset + 1;
   if (Number <= View.Number_)
     return;
-  View = SliceView{Number,        R.Holder_, R.Address_, R.BornAt_,
+  View = SliceView{Number,        R.Holder_, R.Address_, R.StartOffset_,
                    R.Generation_, false,     Now};
   auto Own = S.Owned_.find(Slice);
   if (Own != S.Owned_.end() && Own->second.Number_ < Number)
@@ -49,7 +49,7 @@
   // heartbeat of an earlier process may be stored late.
   auto It = S.Nodes_.find(nodeName(View.Holder_));
   bool Ended = It != S.Nodes_.end() && It->second.Node_ != View.Holder_ &&
-               It->second.BornAt_ > View.BornAt_ &&
+               It->second.StartOffset_ > View.StartOffset_ &&
                It->second.Address_ == View.Address_;
   return Ended ? Predecessor::Ended : Predecessor::MayRun;
 }
@@ -88,7 +88,7 @@
     if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice))
       continue;
     ClaimRecord R{S.Options_.Self_, View.Generation_ + 1, 0,
-                  S.Options_.Address_, S.BornAt_};
+                  S.Options_.Address_, S.StartOffset_};
     Out.push_back({Write::Kind::Claim, Slice, makeClaim(Slice, R), End,
                    R.Generation_, predecessorOf(S, View), View.Number_});
     S.Claiming_.insert(Slice);
@@ -98,7 +98,7 @@
 void giveUpSlices(State &S, std::vector<Write> &Out) {
   for (const auto &[Slice, Own] : S.Owned_) {
     ClaimRecord R{S.Options_.Self_, Own.Generation_, Own.Number_,
-                  S.Options_.Address_, S.BornAt_};
+                  S.Options_.Address_, S.StartOffset_};
     Out.push_back({Write::Kind::GiveUp, Slice, makeClaim(Slice, R), {}});
   }
   S.Owned_.clear();
@@ -122,7 +122,7 @@
     auto Node = parseNode(R.Value_);
     if (Node)
       S.Nodes_[Name] =
-          NodeView{Node->Address_, Node->Node_, Node->BornAt_, Now};
+          NodeView{Node->Address_, Node->Node_, Node->StartOffset_, Now};
     S.Unreadable_ += !Node;
   }
 }
@@ -154,7 +154,7 @@
   View = SliceView{Reply.First_ + 1,
                    S.Options_.Self_,
                    S.Options_.Address_,
-                   S.BornAt_,
+                   S.StartOffset_,
                    W.Generation_,
                    false,
                    Now};
@@ -169,16 +169,16 @@
     giveUpSlices(S, Out);
     return Out;
   }
-  if (End && S.BornAt_ == 0)
-    S.BornAt_ = *End + 1;
+  if (End && S.StartOffset_ == 0)
+    S.StartOffset_ = *End + 1;
   if (End && elapsed(S.ContactAt_, Now) < ContactGap)
     claimFreeSlices(S, Wanted, *End, Now, Out);
   const Options &O = S.Options_;
   Milliseconds Interval = S.Owned_.empty() ? O.IdleBeat_ : O.OwnerBeat_;
-  bool Due = S.BornAt_ != 0 &&
+  bool Due = S.StartOffset_ != 0 &&
              (S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval);
   if (Due && !S.BeatInFlight_) {
-    NodeRecord R{O.Self_, O.Address_, S.BornAt_};
+    NodeRecord R{O.Self_, O.Address_, S.StartOffset_};
     Out.push_back({Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), {}});
     S.BeatInFlight_ = true;
     S.BeatSentAt_ = Now;
--- a/packages/peernet/src/peernet.cpp
+++ b/packages/peernet/src/peernet.cpp
@@ -26,7 +26,8 @@
   NngSocket(const std::string &Address, OnBytes Receive)
       : Receive_(std::move(Receive)) {
     check(nng_pull0_open(&Pull_), "peer socket");
-    nng_socket_set_size(Pull_, NNG_OPT_RECVMAXSZ, MaxFrameBytes);
+    check(nng_socket_set_size(Pull_, NNG_OPT_RECVMAXSZ, MaxFrameBytes),
+          "peer socket");
     check(nng_listen(Pull_, ("tcp://" + Address).c_str(), nullptr, 0),
           "peer_address " + Address);
     Thread_ = std::thread([this] { run(); });
--- a/packages/relay/detail/messages.hpp
+++ b/packages/relay/detail/messages.hpp
@@ -8,8 +8,6 @@
 
 namespace pollenvale::relay {
 
-using AskId = std::uint64_t;
-
 enum class CallKind { Append, Read, Newest };
 
 struct Row {
@@ -20,8 +18,8 @@
 };
 
 /// One call of any kind; fields that the kind does not use are empty.
-struct AskMessage {
-  AskId Id_ = 0;
+struct RequestMessage {
+  CallId Id_ = 0;
   std::string ReplyTo_; ///< Peer address of the entry that asks.
   int Kind_ = 0;        ///< A CallKind.
   std::string Topic_;
@@ -40,8 +38,8 @@
                  TimeoutMs_)
 };
 
-struct TellMessage {
-  AskId Id_ = 0;
+struct ReplyMessage {
+  CallId Id_ = 0;
   int Status_ = int(ledger::StoreStatus::Unknown);
   std::vector<Row> Rows_;
   Offset First_ = 0;
@@ -62,27 +60,27 @@
 };
 
 using Message =
-    std::variant<std::monostate, AskMessage, TellMessage, StoredMessage>;
+    std::variant<std::monostate, RequestMessage, ReplyMessage, StoredMessage>;
 
-std::string encode(const AskMessage &M);
-std::string encode(const TellMessage &M);
+std::string encode(const RequestMessage &M);
+std::string encode(const ReplyMessage &M);
 std::string encode(const StoredMessage &M);
 /// std::monostate when \p Bytes are no such message.
 Message decode(const std::string &Bytes);
 
 std::vector<ledger::KeyedRecord> toRecords(std::vector<Row> Rows);
-AskMessage makeAsk(const ledger::AppendCall &Call);
-AskMessage makeAsk(const ledger::ReadCall &Call);
-AskMessage makeAsk(const ledger::NewestCall &Call);
-ledger::AppendCall appendCall(AskMessage M);
-ledger::ReadCall readCall(const AskMessage &M);
-ledger::NewestCall newestCall(const AskMessage &M);
+RequestMessage makeRequest(const ledger::AppendCall &Call);
+RequestMessage makeRequest(const ledger::ReadCall &Call);
+RequestMessage makeRequest(const ledger::NewestCall &Call);
+ledger::AppendCall appendCall(RequestMessage M);
+ledger::ReadCall readCall(const RequestMessage &M);
+ledger::NewestCall newestCall(const RequestMessage &M);
 
-TellMessage makeTell(AskId Id, const ledger::AppendReply &R);
-TellMessage makeTell(AskId Id, ledger::ReadReply R);
-TellMessage makeTell(AskId Id, ledger::NewestReply R);
-ledger::AppendReply appendReply(const TellMessage &M);
-ledger::ReadReply readReply(TellMessage M);
-ledger::NewestReply newestReply(TellMessage M);
+ReplyMessage makeReply(CallId Id, const ledger::AppendReply &R);
+ReplyMessage makeReply(CallId Id, ledger::ReadReply R);
+ReplyMessage makeReply(CallId Id, ledger::NewestReply R);
+ledger::AppendReply appendReply(const ReplyMessage &M);
+ledger::ReadReply readReply(ReplyMessage M);
+ledger::NewestReply newestReply(ReplyMessage M);
 
 } // namespace pollenvale::relay
--- a/packages/relay/detail/router.hpp
+++ b/packages/relay/detail/router.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Which way the next call to the store takes: directly, or by way of another
+/// Whether the next call to the store is made directly or through another
 /// entry.
 #pragma once
 
@@ -10,7 +10,7 @@
 namespace pollenvale::relay {
 
 struct RouterOptions {
-  /// After a failure, calls take the direct way again after this time.
+  /// After a failure, the store is called directly again after this time.
   Milliseconds DirectPause_{600};
   /// A peer that could not help is left alone for this long.
   Milliseconds PeerPause_{1'000};
@@ -23,7 +23,7 @@
 };
 
 /// What is known of one partition: the store may serve some and not others.
-struct PartitionWay {
+struct PartitionRoute {
   TimePoint DirectPausedUntil_{};
   TimePoint DirectAnswerAt_{}; ///< Last answer of the store to this entry.
   std::map<std::string, TimePoint> PeerAvoidUntil_;
@@ -33,7 +33,7 @@
   RouterOptions Options_;
   std::vector<std::string> Peers_; ///< Addresses of the other entries.
   std::size_t NextPeer_ = 0;
-  std::map<std::string, PartitionWay> Partitions_; ///< By topic and number.
+  std::map<std::string, PartitionRoute> Partitions_; ///< By topic and number.
   TimePoint DirectAnswerAt_{}; ///< Last answer about any partition.
 };
 
@@ -43,7 +43,7 @@
 /// A peer that may help with the partition; empty when all were asked in vain a
 /// moment ago.
 std::string choosePeer(Router &R, const std::string &Partition, TimePoint Now);
-/// Whether the direct way to the partition may be tried.
+/// Whether the store may be called directly about the partition.
 bool isDirectOpen(const Router &R, const std::string &Partition, TimePoint Now);
 /// Whether the partition may be called for others: the store has answered this
 /// entry a moment ago, and did not refuse this partition.
--- a/packages/relay/detail/store.hpp
+++ b/packages/relay/detail/store.hpp
@@ -53,7 +53,7 @@
   Counters Counters_;
 
 private:
-  /// One call of this entry, on its way directly, by a peer or both.
+  /// One call of this entry, on its way directly, through a peer or both.
   struct Call;
   using CallPtr = std::shared_ptr<Call>;
 
@@ -61,19 +61,19 @@
   void goDirect(const CallPtr &C);
   /// False when no peer can be asked.
   bool askPeer(const CallPtr &C);
-  void onDirect(const CallPtr &C, const TellMessage &Reply);
-  void onTell(const TellMessage &M);
-  void conclude(const CallPtr &C, const TellMessage &Reply);
+  void onDirect(const CallPtr &C, const ReplyMessage &Reply);
+  void onReply(const ReplyMessage &M);
+  void conclude(const CallPtr &C, const ReplyMessage &Reply);
   /// Passes on what an append has stored, so that the others need not read it.
-  void announce(const CallPtr &C, const TellMessage &Reply);
-  void serve(AskMessage M);
-  void tell(const std::string &Address, TellMessage M);
-  template <class Handle> void callDirect(const AskMessage &M, Handle Done);
+  void announce(const CallPtr &C, const ReplyMessage &Reply);
+  void serve(RequestMessage M);
+  void reply(const std::string &Address, ReplyMessage M);
+  template <class Handle> void callDirect(const RequestMessage &M, Handle Done);
 
   RelayPorts Ports_;
-  std::list<CallPtr> Direct_;        ///< Waiting for the store's answer.
-  std::map<AskId, CallPtr> AtPeers_; ///< Waiting for a peer's answer.
-  AskId NextId_ = 1;
+  std::list<CallPtr> Direct_;         ///< Waiting for the store's answer.
+  std::map<CallId, CallPtr> AtPeers_; ///< Waiting for a peer's answer.
+  CallId NextId_ = 1;
   std::size_t Serving_ = 0; ///< Calls in flight for other entries.
 };
 
--- a/packages/relay/relay.hpp
+++ b/packages/relay/relay.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Calls to the store by way of another entry, while the store turns this one
-/// away or does not answer it.
+/// Calls to the store through another entry, while the store refuses this one
+/// or does not answer it.
 #pragma once
 
 #include "relay/detail/messages.hpp"
--- a/packages/relay/src/messages.cpp
+++ b/packages/relay/src/messages.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr char AskTag = 's';
-constexpr char TellTag = 'r';
+constexpr char RequestTag = 's';
+constexpr char ReplyTag = 'r';
 constexpr char StoredTag = 'd';
 
 std::uint32_t toMs(Milliseconds Time) {
@@ -22,8 +22,9 @@
   return Out;
 }
 
-AskMessage makeAsk(CallKind Kind, const Partition &P, Milliseconds Timeout) {
-  AskMessage M;
+RequestMessage makeRequest(CallKind Kind, const Partition &P,
+                           Milliseconds Timeout) {
+  RequestMessage M;
   M.Kind_ = int(Kind);
   M.Topic_ = P.Topic_;
   M.Partition_ = P.Number_;
@@ -31,7 +32,7 @@
   return M;
 }
 
-StoreStatus statusOf(const TellMessage &M) {
+StoreStatus statusOf(const ReplyMessage &M) {
   bool Known = M.Status_ >= int(StoreStatus::Done) &&
                M.Status_ <= int(StoreStatus::Forgotten);
   return Known ? StoreStatus(M.Status_) : StoreStatus::Unknown;
@@ -47,22 +48,24 @@
   return Out;
 }
 
-std::string encode(const AskMessage &M) { return packTagged(AskTag, M); }
-std::string encode(const TellMessage &M) { return packTagged(TellTag, M); }
+std::string encode(const RequestMessage &M) {
+  return packTagged(RequestTag, M);
+}
+std::string encode(const ReplyMessage &M) { return packTagged(ReplyTag, M); }
 std::string encode(const StoredMessage &M) { return packTagged(StoredTag, M); }
 
 Message decode(const std::string &Bytes) {
-  if (auto Ask = unpackTagged<AskMessage>(AskTag, Bytes))
-    return std::move(*Ask);
-  if (auto Tell = unpackTagged<TellMessage>(TellTag, Bytes))
-    return std::move(*Tell);
+  if (auto Request = unpackTagged<RequestMessage>(RequestTag, Bytes))
+    return std::move(*Request);
+  if (auto Reply = unpackTagged<ReplyMessage>(ReplyTag, Bytes))
+    return std::move(*Reply);
   if (auto Stored = unpackTagged<StoredMessage>(StoredTag, Bytes))
     return std::move(*Stored);
   return {};
 }
 
-AskMessage makeAsk(const AppendCall &Call) {
-  AskMessage M = makeAsk(CallKind::Append, Call.To_, Call.Timeout_);
+RequestMessage makeRequest(const AppendCall &Call) {
+  RequestMessage M = makeRequest(CallKind::Append, Call.To_, Call.Timeout_);
   M.Rows_ = toRows(Call.Records_);
   M.ExpectedEnd_ = Call.ExpectedEnd_;
   if (Call.Fence_) {
@@ -73,20 +76,20 @@
   return M;
 }
 
-AskMessage makeAsk(const ReadCall &Call) {
-  AskMessage M = makeAsk(CallKind::Read, Call.From_, Call.Timeout_);
+RequestMessage makeRequest(const ReadCall &Call) {
+  RequestMessage M = makeRequest(CallKind::Read, Call.From_, Call.Timeout_);
   M.From_ = Call.Offset_;
   M.WaitMs_ = toMs(Call.Wait_);
   return M;
 }
 
-AskMessage makeAsk(const NewestCall &Call) {
-  AskMessage M = makeAsk(CallKind::Newest, Call.From_, Call.Timeout_);
+RequestMessage makeRequest(const NewestCall &Call) {
+  RequestMessage M = makeRequest(CallKind::Newest, Call.From_, Call.Timeout_);
   M.AfterKey_ = Call.AfterKey_;
   return M;
 }
 
-AppendCall appendCall(AskMessage M) {
+AppendCall appendCall(RequestMessage M) {
   AppendCall Call;
   Call.To_ = {M.Topic_, M.Partition_};
   Call.Records_ = toRecords(std::move(M.Rows_));
@@ -97,48 +100,48 @@
   return Call;
 }
 
-ReadCall readCall(const AskMessage &M) {
+ReadCall readCall(const RequestMessage &M) {
   return {{M.Topic_, M.Partition_},
           M.From_,
           Milliseconds(M.WaitMs_),
           Milliseconds(M.TimeoutMs_)};
 }
 
-NewestCall newestCall(const AskMessage &M) {
+NewestCall newestCall(const RequestMessage &M) {
   return {{M.Topic_, M.Partition_}, M.AfterKey_, Milliseconds(M.TimeoutMs_)};
 }
 
-TellMessage makeTell(AskId Id, const AppendReply &R) {
-  TellMessage M{Id, int(R.Status_)};
+ReplyMessage makeReply(CallId Id, const AppendReply &R) {
+  ReplyMessage M{Id, int(R.Status_)};
   M.First_ = R.First_;
   M.End_ = R.End_;
   M.ExpectedSequence_ = R.ExpectedSequence_;
   return M;
 }
 
-TellMessage makeTell(AskId Id, ReadReply R) {
-  TellMessage M{Id, int(R.Status_), toRows(std::move(R.Records_))};
+ReplyMessage makeReply(CallId Id, ReadReply R) {
+  ReplyMessage M{Id, int(R.Status_), toRows(std::move(R.Records_))};
   M.Next_ = R.Next_;
   M.End_ = R.End_;
   return M;
 }
 
-TellMessage makeTell(AskId Id, NewestReply R) {
-  TellMessage M{Id, int(R.Status_), toRows(std::move(R.Records_))};
+ReplyMessage makeReply(CallId Id, NewestReply R) {
+  ReplyMessage M{Id, int(R.Status_), toRows(std::move(R.Records_))};
   M.End_ = R.End_;
   M.More_ = R.More_;
   return M;
 }
 
-AppendReply appendReply(const TellMessage &M) {
+AppendReply appendReply(const ReplyMessage &M) {
   return {statusOf(M), M.First_, M.End_, M.ExpectedSequence_};
 }
 
-ReadReply readReply(TellMessage M) {
+ReadReply readReply(ReplyMessage M) {
   return {statusOf(M), toRecords(std::move(M.Rows_)), M.Next_, M.End_};
 }
 
-NewestReply newestReply(TellMessage M) {
+NewestReply newestReply(ReplyMessage M) {
   return {statusOf(M), toRecords(std::move(M.Rows_)), M.More_, M.End_};
 }
 
--- a/packages/relay/src/store.cpp
+++ b/packages/relay/src/store.cpp
@@ -8,89 +8,89 @@
 
 /// Calls in flight for other entries; more are refused.
 constexpr std::size_t MaxServing = 64;
-/// Limits of a call by way of a peer. They are short, so that the direct way is
-/// tried again soon when the store is away for all.
+/// Limits of a call through a peer. They are short, so that the store is soon
+/// called directly again when it is down for all.
 constexpr std::uint32_t PeerTimeoutMs = 700;
 constexpr std::uint32_t PeerWaitMs = 300;
 /// With more entries than this, each reads the store by itself.
 constexpr std::size_t MaxAnnounced = 12;
-/// A failure within this time leaves time for another way.
+/// A failure within this time leaves time for another attempt.
 constexpr Milliseconds QuickFailure{300};
 /// Time for a peer's answer beyond the store's.
 constexpr Milliseconds PeerMargin{100};
 
-std::string partitionOf(const AskMessage &M) {
+std::string partitionOf(const RequestMessage &M) {
   return nameOf({M.Topic_, M.Partition_});
 }
 
-Milliseconds timeLimit(const AskMessage &M) {
+Milliseconds timeLimit(const RequestMessage &M) {
   return Milliseconds(M.TimeoutMs_) + Milliseconds(M.WaitMs_);
 }
 
 } // namespace
 
 struct RelayStore::Call {
-  AskMessage Ask_;
+  RequestMessage Request_;
   std::string Partition_;
-  std::function<void(TellMessage)> Done_;
+  std::function<void(ReplyMessage)> Done_;
   TimePoint SentAt_{};     ///< To the store.
   TimePoint Due_{};        ///< When the store is to answer.
   TimePoint PeerGiveUp_{}; ///< When the peer is to have answered.
   std::string Peer_;
-  AskId Id_ = 0;
+  CallId Id_ = 0;
   bool AtStore_ = false;
   bool AtPeer_ = false;
   bool PeerAsked_ = false;
-  /// A way that gave no answer may still carry it out.
+  /// An attempt without an answer may still be executed.
   bool MayBeDone_ = false;
   bool Ended_ = false;
 
-  /// Whether a second carrying out is harmless.
-  bool mayRepeat() const { return !Ask_.ExpectedEnd_; }
+  /// Whether executing it twice has the effect of once.
+  bool isIdempotent() const { return !Request_.ExpectedEnd_; }
 };
 
 void RelayStore::append(AppendCall Wanted, Done<AppendReply> Done) {
   auto C = std::make_shared<Call>();
-  C->Ask_ = makeAsk(Wanted);
-  C->Done_ = [Done](const TellMessage &M) { Done(appendReply(M)); };
+  C->Request_ = makeRequest(Wanted);
+  C->Done_ = [Done](const ReplyMessage &M) { Done(appendReply(M)); };
   begin(std::move(C));
 }
 
 void RelayStore::read(ReadCall Wanted, Done<ReadReply> Done) {
   auto C = std::make_shared<Call>();
-  C->Ask_ = makeAsk(Wanted);
-  C->Done_ = [Done](TellMessage M) { Done(readReply(std::move(M))); };
+  C->Request_ = makeRequest(Wanted);
+  C->Done_ = [Done](ReplyMessage M) { Done(readReply(std::move(M))); };
   begin(std::move(C));
 }
 
 void RelayStore::newest(NewestCall Wanted, Done<NewestReply> Done) {
   auto C = std::make_shared<Call>();
-  C->Ask_ = makeAsk(Wanted);
-  C->Done_ = [Done](TellMessage M) { Done(newestReply(std::move(M))); };
+  C->Request_ = makeRequest(Wanted);
+  C->Done_ = [Done](ReplyMessage M) { Done(newestReply(std::move(M))); };
   begin(std::move(C));
 }
 
 void RelayStore::begin(CallPtr C) {
-  C->Partition_ = partitionOf(C->Ask_);
+  C->Partition_ = partitionOf(C->Request_);
   if (!isDirectOpen(Router_, C->Partition_, Ports_.Clock_()) && askPeer(C))
     return;
   goDirect(C);
 }
 
 template <class Handle>
-void RelayStore::callDirect(const AskMessage &M, Handle Done) {
+void RelayStore::callDirect(const RequestMessage &M, Handle Done) {
   switch (CallKind(M.Kind_)) {
   case CallKind::Append:
     Ports_.Direct_->append(
-        appendCall(M), [Done](const AppendReply &R) { Done(makeTell(0, R)); });
+        appendCall(M), [Done](const AppendReply &R) { Done(makeReply(0, R)); });
     break;
   case CallKind::Read:
     Ports_.Direct_->read(
-        readCall(M), [Done](ReadReply R) { Done(makeTell(0, std::move(R))); });
+        readCall(M), [Done](ReadReply R) { Done(makeReply(0, std::move(R))); });
     break;
   case CallKind::Newest:
     Ports_.Direct_->newest(newestCall(M), [Done](NewestReply R) {
-      Done(makeTell(0, std::move(R)));
+      Done(makeReply(0, std::move(R)));
     });
     break;
   }
@@ -99,10 +99,10 @@
 void RelayStore::goDirect(const CallPtr &C) {
   C->AtStore_ = true;
   C->SentAt_ = Ports_.Clock_();
-  C->Due_ = C->SentAt_ + Milliseconds(C->Ask_.WaitMs_);
+  C->Due_ = C->SentAt_ + Milliseconds(C->Request_.WaitMs_);
   Direct_.push_back(C);
-  callDirect(C->Ask_,
-             [this, C](const TellMessage &Reply) { onDirect(C, Reply); });
+  callDirect(C->Request_,
+             [this, C](const ReplyMessage &Reply) { onDirect(C, Reply); });
 }
 
 bool RelayStore::askPeer(const CallPtr &C) {
@@ -112,17 +112,17 @@
     return false;
   C->PeerAsked_ = true;
   C->Id_ = NextId_++;
-  AskMessage Ask = C->Ask_;
-  Ask.Id_ = C->Id_;
-  Ask.ReplyTo_ = Ports_.Self_;
-  Ask.TimeoutMs_ = std::min(Ask.TimeoutMs_, PeerTimeoutMs);
-  Ask.WaitMs_ = std::min(Ask.WaitMs_, PeerWaitMs);
+  RequestMessage Sent = C->Request_;
+  Sent.Id_ = C->Id_;
+  Sent.ReplyTo_ = Ports_.Self_;
+  Sent.TimeoutMs_ = std::min(Sent.TimeoutMs_, PeerTimeoutMs);
+  Sent.WaitMs_ = std::min(Sent.WaitMs_, PeerWaitMs);
   C->AtPeer_ = true;
   C->Peer_ = Peer;
-  C->PeerGiveUp_ = Now + timeLimit(Ask) + PeerMargin;
+  C->PeerGiveUp_ = Now + timeLimit(Sent) + PeerMargin;
   AtPeers_[C->Id_] = C;
   count(Counters_, "relay-asked");
-  if (Ports_.Send_(Peer, encode(Ask)))
+  if (Ports_.Send_(Peer, encode(Sent)))
     return true;
   AtPeers_.erase(C->Id_);
   C->AtPeer_ = false;
@@ -130,7 +130,7 @@
   return false;
 }
 
-void RelayStore::onDirect(const CallPtr &C, const TellMessage &Reply) {
+void RelayStore::onDirect(const CallPtr &C, const ReplyMessage &Reply) {
   C->AtStore_ = false;
   Direct_.remove(C);
   auto Status = StoreStatus(Reply.Status_);
@@ -146,12 +146,12 @@
   // A call that has taken its time ends here: its maker decides what comes
   // next.
   bool Again = !C->PeerAsked_ && Now - C->SentAt_ <= QuickFailure &&
-               (C->mayRepeat() || !C->MayBeDone_);
+               (C->isIdempotent() || !C->MayBeDone_);
   if (!Again || !askPeer(C))
     conclude(C, Reply);
 }
 
-void RelayStore::onTell(const TellMessage &M) {
+void RelayStore::onReply(const ReplyMessage &M) {
   auto It = AtPeers_.find(M.Id_);
   if (It == AtPeers_.end())
     return;
@@ -165,7 +165,7 @@
   C->MayBeDone_ |= Status == StoreStatus::Unknown;
   if (C->AtStore_)
     return;
-  // The peer has no way to the store either: another one may.
+  // The store refuses the peer as well: another one may reach it.
   if (!C->MayBeDone_ && askPeer(C))
     return;
   bool Tried = C->SentAt_ != TimePoint{};
@@ -174,13 +174,13 @@
   goDirect(C);
 }
 
-void RelayStore::conclude(const CallPtr &C, const TellMessage &Reply) {
+void RelayStore::conclude(const CallPtr &C, const ReplyMessage &Reply) {
   if (C->Ended_)
     return;
   C->Ended_ = true;
   AtPeers_.erase(C->Id_);
-  TellMessage Out = Reply;
-  // "Not done" must hold for every way that was tried.
+  ReplyMessage Out = Reply;
+  // "Not done" must hold for every attempt.
   if (C->MayBeDone_ && StoreStatus(Out.Status_) == StoreStatus::NotDone)
     Out.Status_ = int(StoreStatus::Unknown);
   announce(C, Out);
@@ -191,12 +191,13 @@
   return Router_.Peers_.size() <= MaxAnnounced;
 }
 
-void RelayStore::announce(const CallPtr &C, const TellMessage &Reply) {
-  if (CallKind(C->Ask_.Kind_) != CallKind::Append ||
+void RelayStore::announce(const CallPtr &C, const ReplyMessage &Reply) {
+  if (CallKind(C->Request_.Kind_) != CallKind::Append ||
       StoreStatus(Reply.Status_) != StoreStatus::Done ||
-      C->Ask_.Topic_ != Ports_.AnnouncedTopic_)
+      C->Request_.Topic_ != Ports_.AnnouncedTopic_)
     return;
-  StoredMessage M{C->Ask_.Topic_, C->Ask_.Partition_, std::move(C->Ask_.Rows_)};
+  StoredMessage M{C->Request_.Topic_, C->Request_.Partition_,
+                  std::move(C->Request_.Rows_)};
   Offset Next = Reply.First_;
   for (Row &R : M.Rows_)
     R.Offset_ = Next++;
@@ -209,10 +210,10 @@
 }
 
 void RelayStore::onMessage(Message M) {
-  if (auto *Ask = std::get_if<AskMessage>(&M))
-    serve(std::move(*Ask));
-  else if (auto *Tell = std::get_if<TellMessage>(&M))
-    onTell(*Tell);
+  if (auto *Request = std::get_if<RequestMessage>(&M))
+    serve(std::move(*Request));
+  else if (auto *Reply = std::get_if<ReplyMessage>(&M))
+    onReply(*Reply);
   else if (auto *Stored = std::get_if<StoredMessage>(&M);
            Stored && Stored->Topic_ == Ports_.AnnouncedTopic_)
     Ports_.OnStored_(Stored->Partition_, toRecords(std::move(Stored->Rows_)));
@@ -220,28 +221,28 @@
     count(Counters_, "relay-frame-unreadable");
 }
 
-void RelayStore::serve(AskMessage M) {
+void RelayStore::serve(RequestMessage M) {
   std::string Partition = partitionOf(M);
   bool Known =
       M.Kind_ >= int(CallKind::Append) && M.Kind_ <= int(CallKind::Newest);
   if (!Known || Serving_ >= MaxServing ||
       !mayServe(Router_, Partition, Ports_.Clock_())) {
     count(Counters_, "relay-refused");
-    return tell(M.ReplyTo_, {M.Id_, int(StoreStatus::NotDone)});
+    return reply(M.ReplyTo_, {M.Id_, int(StoreStatus::NotDone)});
   }
   count(Counters_, "relay-served");
   ++Serving_;
-  callDirect(M,
-             [this, Id = M.Id_, To = M.ReplyTo_, Partition](TellMessage Reply) {
-               --Serving_;
-               relay::onDirect(Router_, Partition, StoreStatus(Reply.Status_),
-                               Ports_.Clock_());
-               Reply.Id_ = Id;
-               tell(To, std::move(Reply));
-             });
+  callDirect(
+      M, [this, Id = M.Id_, To = M.ReplyTo_, Partition](ReplyMessage Reply) {
+        --Serving_;
+        relay::onDirect(Router_, Partition, StoreStatus(Reply.Status_),
+                        Ports_.Clock_());
+        Reply.Id_ = Id;
+        reply(To, std::move(Reply));
+      });
 }
 
-void RelayStore::tell(const std::string &Address, TellMessage M) {
+void RelayStore::reply(const std::string &Address, ReplyMessage M) {
   if (!Ports_.Send_(Address, encode(M)))
     count(Counters_, "relay-frame-dropped");
 }
@@ -251,7 +252,7 @@
   auto Direct = Direct_;
   for (const CallPtr &C : Direct) {
     if (!noteWaiting(Router_, C->Partition_, C->Due_, Now) || C->Ended_ ||
-        C->PeerAsked_ || !C->mayRepeat())
+        C->PeerAsked_ || !C->isIdempotent())
       continue;
     count(Counters_, "relay-silent-store");
     C->MayBeDone_ = true;
--- a/packages/relay/tests/unit-relay.cpp
+++ b/packages/relay/tests/unit-relay.cpp
@@ -1,4 +1,4 @@
-/// Calls to the store by way of other entries, while the store turns some away.
+/// Calls to the store through other entries, while the store refuses some.
 #include "relay/relay.hpp"
 
 #include <criterion/criterion.h>
@@ -155,7 +155,7 @@
   cr_assert_eq(C.Stores_[1]->Appends_, 0u);
 }
 
-Test(relay, not_done_is_said_only_if_no_way_may_have_done_it) {
+Test(relay, not_done_is_said_only_if_no_attempt_may_have_done_it) {
   Cell C(3);
   C.Stores_[0]->Mood_ = Mood::LosesAnswers;
   C.Stores_[1]->Mood_ = C.Stores_[2]->Mood_ = Mood::Refuses;
@@ -164,7 +164,7 @@
   cr_assert(C.append() == Statuses{StoreStatus::NotDone});
 }
 
-Test(relay, peers_without_a_way_are_passed_over) {
+Test(relay, peers_without_the_store_are_passed_over) {
   Cell C(4);
   for (std::size_t I : {0u, 1u, 2u})
     C.Stores_[I]->Mood_ = Mood::Refuses;
@@ -188,7 +188,7 @@
   cr_assert_eq(Out.size(), 1u);
 }
 
-Test(relay, the_direct_way_is_taken_again_once_it_works) {
+Test(relay, the_store_is_called_directly_again_once_it_answers) {
   Cell C(2);
   C.Stores_[0]->Mood_ = Mood::Refuses;
   C.append();
@@ -219,7 +219,7 @@
   cr_assert_leq(Calls, 10u * 6u);
 }
 
-Test(relay, reads_come_by_way_of_a_peer) {
+Test(relay, reads_come_through_a_peer) {
   Cell C(2);
   C.append();
   C.Stores_[0]->Mood_ = Mood::Refuses;
--- a/packages/scheduler/tests/unit-attempts.cpp
+++ b/packages/scheduler/tests/unit-attempts.cpp
@@ -73,9 +73,7 @@
 Test(attempts, a_worker_that_fails_everything_is_set_aside) {
   FleetCell C({"a", "b", "c"});
   failAll(C);
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(50)};
-  };
+  C.setRunTime(Milliseconds(50));
   C.takeOver();
   C.run(Milliseconds(200));
   scheduler::Outbox Out;
--- a/packages/scheduler/tests/unit-orders.cpp
+++ b/packages/scheduler/tests/unit-orders.cpp
@@ -30,16 +30,11 @@
 
 Test(orders, tasks_of_a_worker_that_is_gone_start_elsewhere) {
   FleetCell C({"a", "b", "c"});
-  C.takeOver();
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(3'000)};
-  };
-  C.submit("j1", plainJob({plainStep(4)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(4, Milliseconds(3'000), Milliseconds(500));
   std::string Where = C.Starts_.front().substr(C.Starts_.front().size() - 1);
   C.worker(Where).Alive_ = false;
   scheduler::onWorkerGone(C.owner().State_, Where, C.Now_);
-  // The lease of 5 s, its margins, and the run itself.
+  // The lease, its margins, and the run itself.
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
                        Milliseconds(10'000)));
   cr_assert(C.Broken_.empty());
@@ -47,12 +42,7 @@
 
 Test(orders, a_worker_that_is_cut_off_runs_its_tasks_alone) {
   FleetCell C({"a", "b", "c"});
-  C.takeOver();
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(60'000)};
-  };
-  C.submit("j1", plainJob({plainStep(4)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(4, Milliseconds(60'000), Milliseconds(500));
   std::string Where = C.Starts_.front().substr(C.Starts_.front().size() - 1);
   C.worker(Where).Cut_ = true;
   C.run(Milliseconds(12'000));
@@ -62,14 +52,9 @@
   cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
 }
 
-Test(orders, a_worker_that_was_born_again_has_lost_its_tasks) {
+Test(orders, a_restarted_worker_has_lost_its_tasks) {
   FleetCell C({"a", "b", "c"});
-  C.takeOver();
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(2'000)};
-  };
-  C.submit("j1", plainJob({plainStep(4)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(4, Milliseconds(2'000), Milliseconds(500));
   std::string Where = C.Starts_.front().substr(C.Starts_.front().size() - 1);
   restart(C.worker(Where), 999);
   cr_assert(
--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -38,9 +38,7 @@
 
 Test(permits, a_lapsed_permit_is_asked_for_again) {
   AskingCell C;
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(3'000)};
-  };
+  C.setRunTime(Milliseconds(3'000));
   C.submit("j1", plainJob({plainStep(40)}));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
   cr_assert_geq(C.AdviceCalls_, 2u);
@@ -48,9 +46,7 @@
 
 Test(permits, a_full_fleet_is_not_asked_about) {
   AskingCell C;
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(20'000)};
-  };
+  C.setRunTime(Milliseconds(20'000));
   C.submit("j1", plainJob({plainStep(32)}));
   C.run(Milliseconds(1'000));
   std::uint64_t Before = C.AdviceCalls_;
@@ -64,9 +60,7 @@
   // until the worker has room.
   AskingCell C;
   C.Allows_ = [](const WorkerId &W) { return W == "d"; };
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(1'000)};
-  };
+  C.setRunTime(Milliseconds(1'000));
   C.submit("j1", plainJob({plainStep(8)}));
   C.run(Milliseconds(300));
   std::uint64_t Before = C.AdviceCalls_;
--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -56,12 +56,7 @@
 
 Test(steps, a_cancelled_job_is_stopped_and_starts_nothing) {
   FleetCell C({"a", "b", "c"});
-  C.takeOver();
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(20'000)};
-  };
-  C.submit("j1", plainJob({plainStep(30)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(30, Milliseconds(20'000), Milliseconds(500));
   cr_assert_eq(C.Starts_.size(), 24u);
   C.cancel("j1");
   C.run(Milliseconds(1'000));
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -9,10 +9,7 @@
 
 Test(takeover, running_tasks_are_adopted) {
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(4'000));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(12)}));
-  C.run(Milliseconds(1'000));
+  C.beginBusy(12, Milliseconds(4'000), Milliseconds(1'000));
   C.killOwner();
   C.run(Milliseconds(2'000));
   C.takeOver();
@@ -22,10 +19,7 @@
 
 Test(takeover, the_former_owner_is_fenced) {
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(4'000));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(12)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(12, Milliseconds(4'000), Milliseconds(500));
   Owner &Old = C.owner();
   Old.CutFromStore_ = true;
   C.takeOver();
@@ -39,10 +33,7 @@
   // Its tasks may run there, so none of them starts elsewhere before no lease
   // of the former owner can last.
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(60'000));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(12)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(12, Milliseconds(60'000), Milliseconds(500));
   C.killOwner();
   C.worker("a").Cut_ = true;
   C.takeOver();
@@ -75,10 +66,7 @@
 
 Test(takeover, a_worker_that_left_with_tasks_holds_them_for_one_lease) {
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(20'000));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(24)}));
-  C.run(Milliseconds(1'000));
+  C.beginBusy(24, Milliseconds(20'000), Milliseconds(1'000));
   C.drain("c");
   C.run(Milliseconds(300));
   C.leave("c");
@@ -87,9 +75,7 @@
   C.takeOver(ownership::Predecessor::Ended);
   C.run(Milliseconds(5'000));
   cr_assert_eq(C.Starts_.size(), 24u);
-  C.FateOf_ = [](const TaskId &, std::uint32_t) {
-    return Fate{Milliseconds(100)};
-  };
+  C.setRunTime(Milliseconds(100));
   C.run(Milliseconds(21'000));
   cr_assert_gt(C.Starts_.size(), 24u);
   cr_assert(C.Broken_.empty());
@@ -111,10 +97,7 @@
 Test(takeover, a_cut_off_owner_and_its_worker_stay_apart_from_the_new_one) {
   // Only the former owner reaches the worker, and neither reaches the store.
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(60'000));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(12)}));
-  C.run(Milliseconds(500));
+  C.beginBusy(12, Milliseconds(60'000), Milliseconds(500));
   C.owner().CutFromStore_ = true;
   C.takeOver();
   C.run(Milliseconds(40'000));
@@ -123,10 +106,7 @@
 
 Test(takeover, a_freed_slice_is_taken_over_without_a_long_wait) {
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(500));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(30)}));
-  C.run(Milliseconds(300));
+  C.beginBusy(30, Milliseconds(500), Milliseconds(300));
   C.killOwner();
   C.takeOver(ownership::Predecessor::None);
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
@@ -135,10 +115,7 @@
 
 Test(takeover, runs_of_two_owners_have_different_numbers) {
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(60'000));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(1)}));
-  C.run(Milliseconds(300));
+  C.beginBusy(1, Milliseconds(60'000), Milliseconds(300));
   C.killOwner();
   for (auto &[Id, W] : C.Workers_)
     restart(W, 500 + std::int64_t(Id[0]));
@@ -150,10 +127,7 @@
 
 Test(takeover, the_store_may_be_away_for_a_while) {
   FleetCell C({"a", "b", "c"});
-  C.setRunTime(Milliseconds(300));
-  C.takeOver();
-  C.submit("j1", plainJob({plainStep(60)}));
-  C.run(Milliseconds(200));
+  C.beginBusy(60, Milliseconds(300), Milliseconds(200));
   C.StoreDown_ = true;
   C.run(Milliseconds(6'000));
   cr_assert_eq(C.Starts_.size(), 60u, "running goes on without the store");
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -77,6 +77,14 @@
   CancelledAt_.emplace(Job, Now_);
 }
 
+void FleetCell::beginBusy(std::uint32_t Tasks, Milliseconds RunTime,
+                          Milliseconds HeadStart) {
+  setRunTime(RunTime);
+  takeOver();
+  submit("j1", plainJob({plainStep(Tasks)}));
+  run(HeadStart);
+}
+
 void FleetCell::killOwner() { owner().Alive_ = false; }
 
 void FleetCell::drain(const WorkerId &Id) {
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -58,6 +58,10 @@
   /// A new owner claims the slice.
   Owner &
   takeOver(ownership::Predecessor Before = ownership::Predecessor::MayRun);
+  /// The first owner begins with job "j1" of so many tasks, each of which takes
+  /// \p RunTime, and has worked on it for \p HeadStart.
+  void beginBusy(std::uint32_t Tasks, Milliseconds RunTime,
+                 Milliseconds HeadStart);
   void killOwner();
   /// The worker says that it will leave.
   void drain(const WorkerId &Id);
