Log why a task ran again, and how late an entry's event loop runs

Nothing told whether a doubled task's first end was listed by its worker, overlooked by the owner, or never read: the log had `tasks-lost` by worker, without tasks, calls or times. Observability only; no decision changes.

- run-given-up, run-repeated, end-after-give-up, end-overlooked and ends-acknowledged-after-give-up name the task, both runs, the age of the worker's last answer and the renewals in a row without one, with their limit. renewal-unanswered is written for the first of a row.
- loop-late, at most once a second while a tick of the event loop is 100 ms late or more: lag, calls in flight, timeouts, connections opened, and connections closed with an answer still unread. pollenvale_loop_lag_seconds is the same as a histogram.
- At most 50 lines a second of each of these events; the next one says how many were left out.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -3,6 +3,7 @@
 #include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
 #include "fleet/follower.hpp"
+#include "fleet/loop_watch.hpp"
 #include "fleet/owned_slices.hpp"
 #include "fleet/policy_calls.hpp"
 #include "fleet/worker_registry.hpp"
@@ -275,7 +276,8 @@
     for (const auto &[Number, Copy] : Intake_.Partitions_)
       All["record-unreadable"] += Copy.Replica_.Unreadable_;
     All["record-unreadable"] += Claims_.Unreadable_;
-    return observe::expose(All);
+    Loop_.addCounters(All);
+    return observe::expose(All) + Loop_.expose();
   }
 
   bool copiesLoaded() const {
@@ -319,6 +321,7 @@
     Timer_.async_wait([this](std::error_code Err) {
       if (Err)
         return;
+      Loop_.onTick(now());
       tickClaims();
       relay::setPeers(Store_.Router_, ownership::peerAddresses(Claims_));
       Store_.tick();
@@ -386,6 +389,7 @@
   asio::signal_set Signals_;
   std::unique_ptr<http::Client> Http_;
   platform::Client Client_;
+  LoopWatch Loop_{TickInterval, *Http_};
   std::unique_ptr<http::Server> Ready_;
   std::unique_ptr<http::Server> Callers_;
 
--- /dev/null
+++ b/apps/pollenvale/fleet/loop_watch.cpp
@@ -0,0 +1,54 @@
+#include "fleet/loop_watch.hpp"
+
+namespace pollenvale::fleet {
+
+namespace {
+
+constexpr Milliseconds ReportedLag{100};
+constexpr Milliseconds ReportInterval{1'000};
+
+} // namespace
+
+void LoopWatch::onTick(TimePoint Now) {
+  std::optional<TimePoint> Before = std::exchange(LastTick_, Now);
+  if (!Before)
+    return;
+  Milliseconds Lag =
+      std::max(Milliseconds(0), elapsed(*Before, Now) - Interval_);
+  Lag_.add(Lag);
+  if (Lag < ReportedLag)
+    return;
+  Worst_ = std::max(Worst_, Lag);
+  ++LateTicks_;
+  if (Now - ReportedAt_ >= ReportInterval)
+    report(Lag, Now);
+}
+
+void LoopWatch::report(Milliseconds Lag, TimePoint Now) {
+  http::ClientStats Stats = Http_.stats();
+  observe::log(observe::Level::Warning, "loop-late",
+               {{"lag_ms", Lag.count()},
+                {"worst_ms", Worst_.count()},
+                {"late_ticks", LateTicks_},
+                {"calls", Stats.InFlight_},
+                {"timeouts", Stats.Timeouts_ - Before_.Timeouts_},
+                {"connections", Stats.Connections_ - Before_.Connections_},
+                {"answers_unread", Stats.Unread_ - Before_.Unread_}});
+  ReportedAt_ = Now;
+  Worst_ = Milliseconds(0);
+  LateTicks_ = 0;
+  Before_ = Stats;
+}
+
+void LoopWatch::addCounters(Counters &All) const {
+  http::ClientStats Stats = Http_.stats();
+  All["call-timeout"] = Stats.Timeouts_;
+  All["connection-opened"] = Stats.Connections_;
+  All["answer-unread"] = Stats.Unread_;
+}
+
+std::string LoopWatch::expose() const {
+  return Lag_.expose("pollenvale_loop_lag_seconds");
+}
+
+} // namespace pollenvale::fleet
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds FenceRetryInterval{200};
 constexpr Milliseconds RewriteInterval{200};
 constexpr Milliseconds LeaseMargin{400};
+constexpr unsigned LinesPerSecond = 50;
 
 } // namespace
 
@@ -20,7 +21,8 @@
                        std::uint32_t Partition, ownership::Owned Claim,
                        Milliseconds SelfFence)
     : Context_(std::move(Context)), Slice_(std::move(Slice)),
-      Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence) {}
+      Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence),
+      Lines_(LinesPerSecond) {}
 
 void SliceOwner::lose(const char *Reason) {
   if (Stage_ == Stage::Over)
@@ -187,8 +189,19 @@
     Context_.Ask_(std::move(Call));
   for (scheduler::WriteCall &Call : Out.Writes_)
     send(std::make_shared<scheduler::WriteCall>(std::move(Call)));
-  for (const scheduler::Note &N : Out.Notes_)
-    observe::log(Level::Info, N.Event_, N.Fields_);
+  for (scheduler::Note &N : Out.Notes_)
+    write(N);
+}
+
+void SliceOwner::write(scheduler::Note &N) {
+  if (N.Limited_) {
+    std::optional<std::uint64_t> LeftOut = Lines_.admit(N.Event_, now());
+    if (!LeftOut)
+      return count(State_.Counters_, "line-left-out");
+    if (*LeftOut > 0)
+      N.Fields_["left_out"] = *LeftOut;
+  }
+  observe::log(Level::Info, N.Event_, N.Fields_);
 }
 
 template <class Reply, class Handle>
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -6,6 +6,7 @@
 #include "advice/advice.hpp"
 #include "fleet/worker_registry.hpp"
 #include "intake/intake.hpp"
+#include "observe/observe.hpp"
 #include "ownership/ownership.hpp"
 #include "platform/adapter.hpp"
 
@@ -55,6 +56,7 @@
   void sendFence();
   void begin();
   void perform(scheduler::Outbox &Out);
+  void write(scheduler::Note &N);
   void send(const scheduler::RenewCall &C);
   void send(const scheduler::StartCall &C);
   void send(const scheduler::StopCall &C);
@@ -70,6 +72,7 @@
   std::uint32_t Partition_;
   ownership::Owned Claim_;
   Milliseconds SelfFence_;
+  observe::LineLimit Lines_;
   Stage Stage_ = Stage::Fencing;
   bool FenceInFlight_ = false;
   TimePoint FenceDueAt_{};
--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -41,6 +41,15 @@
   std::string Message_;
 };
 
+/// Load of a client and what became of its calls.
+struct ClientStats {
+  std::size_t InFlight_ = 0;
+  std::uint64_t Timeouts_ = 0;
+  std::uint64_t Connections_ = 0; ///< Opened.
+  /// Connections closed while part of an answer waited on them, unread.
+  std::uint64_t Unread_ = 0;
+};
+
 using ClientDone = std::function<void(ClientReply)>;
 
 class Client {
@@ -49,6 +58,8 @@
   /// Thread-safe. \p Done runs on the client's thread, exactly once, but not
   /// after the client is destroyed.
   virtual void submit(ClientCall Call, ClientDone Done) = 0;
+  /// All zero for a client with a thread of its own.
+  virtual ClientStats stats() const { return {}; }
 };
 
 std::unique_ptr<Client> makeClient();
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -77,6 +77,12 @@
     curl_multi_add_handle(Multi_, Easy);
   }
 
+  ClientStats stats() const override {
+    ClientStats Out = Stats_;
+    Out.InFlight_ = Transfers_.size();
+    return Out;
+  }
+
 private:
   CURL *takeHandle() {
     if (Spare_.empty())
@@ -147,7 +153,9 @@
                               curl_sockaddr *Address) {
     curl_socket_t Socket = ::socket(
         Address->family, Address->socktype | SOCK_CLOEXEC, Address->protocol);
-    static_cast<LoopClient *>(User)->forget(Socket);
+    auto *Self = static_cast<LoopClient *>(User);
+    Self->forget(Socket);
+    ++Self->Stats_.Connections_;
     return Socket;
   }
 
@@ -162,6 +170,9 @@
 
   static int onClose(void *User, curl_socket_t Socket) {
     auto *Self = static_cast<LoopClient *>(User);
+    char Byte;
+    if (::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+      ++Self->Stats_.Unread_;
     auto It = Self->Watches_.find(Socket);
     if (It == Self->Watches_.end())
       return ::close(Socket);
@@ -191,6 +202,8 @@
   void finishDone() {
     for (auto &T : detail::takeFinished(Multi_, Transfers_)) {
       giveBack(*T);
+      if (T->Reply_.Status_ == ClientStatus::Timeout)
+        ++Stats_.Timeouts_;
       // The callback may submit: it must not run inside libcurl's own.
       asio::post(Io_, [Shared = std::shared_ptr<Transfer>(std::move(T))] {
         Shared->Done_(std::move(Shared->Reply_));
@@ -204,6 +217,7 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches_;
   std::unordered_map<CURL *, std::unique_ptr<Transfer>> Transfers_;
   std::vector<CURL *> Spare_;
+  ClientStats Stats_;
 };
 
 } // namespace
--- a/packages/http/tests/unit-loop-client.cpp
+++ b/packages/http/tests/unit-loop-client.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace pollenvale;
@@ -96,3 +97,33 @@
   Client.reset();
   Server->stop();
 }
+
+Test(loop_client, stats_tell_answers_that_the_loop_came_too_late_to_read) {
+  asio::io_context Io;
+  std::uint16_t Port = freePort();
+  static constexpr milliseconds AnswerTime{30};
+  auto Server = http::startServer(
+      {"127.0.0.1", Port, 1},
+      [](const http::ServerRequest &, const http::Responder &Respond) {
+        std::this_thread::sleep_for(AnswerTime);
+        Respond({200, "{}"});
+      });
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ = "http://127.0.0.1:" + std::to_string(Port) + "/";
+  Call.Timeout_ = milliseconds(100);
+  cr_assert_eq(callMany(Io, *Client, Call, 1, milliseconds(5'000)), 1);
+  cr_assert_eq(Client->stats().Connections_, 1u);
+  cr_assert_eq(Client->stats().Unread_, 0u);
+  // The loop is busy when the answer comes and until the limit has passed.
+  asio::steady_timer Busy(Io, AnswerTime / 2);
+  Busy.async_wait(
+      [](std::error_code) { std::this_thread::sleep_for(milliseconds(300)); });
+  int Answered = callMany(Io, *Client, Call, 1, milliseconds(5'000));
+  http::ClientStats Stats = Client->stats();
+  cr_assert_eq(Stats.InFlight_, 0u);
+  cr_assert_eq(int(Stats.Timeouts_), 1 - Answered);
+  cr_assert_eq(Stats.Unread_, Stats.Timeouts_);
+  Client.reset();
+  Server->stop();
+}
--- a/packages/observe/observe.hpp
+++ b/packages/observe/observe.hpp
@@ -4,8 +4,10 @@
 
 #include "base/base.hpp"
 
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace pollenvale::observe {
@@ -21,6 +23,25 @@
 void log(Level L, const std::string &Event,
          const nlohmann::json &Fields = nlohmann::json::object());
 
+/// Keeps lines of one event from flooding the log.
+class LineLimit {
+public:
+  /// At most \p PerSecond lines of each event a second.
+  explicit LineLimit(unsigned PerSecond) : PerSecond_(PerSecond) {}
+  /// Empty when a line of \p Event is to be left out; otherwise how many were
+  /// left out since the last one.
+  std::optional<std::uint64_t> admit(const std::string &Event, TimePoint Now);
+
+private:
+  struct Window {
+    TimePoint Since_{};
+    unsigned Lines_ = 0;
+    std::uint64_t LeftOut_ = 0;
+  };
+  unsigned PerSecond_;
+  std::map<std::string, Window> Windows_;
+};
+
 /// Distribution of times, logarithmic from 0.1 ms to 1000 s.
 class Histogram {
 public:
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -54,4 +54,20 @@
                          nlohmann::json::error_handler_t::replace);
 }
 
+std::optional<std::uint64_t> LineLimit::admit(const std::string &Event,
+                                              TimePoint Now) {
+  constexpr Milliseconds Span{1'000};
+  Window &W = Windows_[Event];
+  if (Now - W.Since_ >= Span) {
+    W.Since_ = Now;
+    W.Lines_ = 0;
+  }
+  if (W.Lines_ == PerSecond_) {
+    ++W.LeftOut_;
+    return std::nullopt;
+  }
+  ++W.Lines_;
+  return std::exchange(W.LeftOut_, 0);
+}
+
 } // namespace pollenvale::observe
--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -85,6 +85,7 @@
 struct Note {
   std::string Event_;
   nlohmann::json Fields_;
+  bool Limited_ = false; ///< At most so many lines of its event a second.
 };
 
 struct Outbox {
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -34,6 +34,14 @@
   unsigned AppliedShare_ = 100;
 };
 
+/// A run that the owner gave up without its worker's word of an end.
+struct GivenUpRun {
+  std::uint32_t Number_ = 0;
+  WorkerId Worker_;
+  std::string Cause_;
+  TimePoint At_{};
+};
+
 struct Task {
   bool Done_ = false;
   std::set<std::uint32_t> FailedRuns_; ///< Attempts used up.
@@ -41,6 +49,7 @@
   WorkerId FailedOn_; ///< Where it failed last.
   std::string Checkpoint_;
   std::optional<Run> Run_;
+  std::vector<GivenUpRun> GivenUp_; ///< For the log only.
   TimePoint NotBefore_{};
 };
 
@@ -115,6 +124,12 @@
   TimePoint AvoidUntil_{};
   unsigned BestEffortShare_ =
       100; ///< Share that best-effort tasks there may work at.
+  // For the log only.
+  TimePoint FirstMissAt_{};   ///< When the first of Misses_ was sent.
+  Milliseconds MissLimit_{0}; ///< Limit of the last unanswered renewal.
+  std::size_t GivenUp_ = 0;   ///< Runs given up since the last such line.
+  TimePoint GaveUpAt_{};      ///< When the last of them was.
+  std::uint64_t SentAck_ = 0; ///< Highest end acknowledged by a renewal.
 };
 
 struct Options {
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/detail/placing.hpp"
 #include "scheduler/detail/tasks.hpp"
+#include "scheduler/detail/trace.hpp"
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
@@ -176,6 +177,7 @@
     if (Permit != P.Permits_.end())
       R.Permit_ = Permit->second.Text_;
     attachRun(S, {Id, X.Index_}, std::move(R));
+    traceRepeat(S, {Id, X.Index_}, Now, Out);
     Out.Starts_.push_back(makeStart(S, {Id, X.Index_}, Now));
     count(S.Counters_, "start-sent");
   }
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -1,4 +1,5 @@
 #include "scheduler/detail/tasks.hpp"
+#include "scheduler/detail/trace.hpp"
 
 #include <algorithm>
 
@@ -164,6 +165,7 @@
               TimePoint Now, Outbox &Out) {
   count(S.Counters_, "end-" + std::string(toString(End.Kind_)));
   noteEvidence(S, S.Workers_.at(Where), End, Now, Out);
+  traceEnd(S, Where, End, Now, Out);
   Job *J = findJob(S, End.Task_.Step_.Job_);
   Task *T = findTask(S, End.Task_);
   if (!J || !T)
@@ -190,7 +192,7 @@
   reconcileGang(S, End.Task_.Step_);
 }
 
-void loseTasks(State &S, Worker &W, TimePoint, Outbox &Out,
+void loseTasks(State &S, Worker &W, TimePoint Now, Outbox &Out,
                const char *Reason) {
   if (W.Tasks_.empty())
     return;
@@ -200,8 +202,10 @@
                          {"tasks", W.Tasks_.size()},
                          {"reason", Reason}}});
   std::set<TaskId> Tasks = W.Tasks_;
-  for (const TaskId &Id : Tasks)
+  for (const TaskId &Id : Tasks) {
+    traceGiveUp(S, Id, Reason, Now, Out);
     detachRun(S, Id);
+  }
   for (const TaskId &Id : Tasks)
     reconcileGang(S, Id.Step_);
 }
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -1,4 +1,5 @@
 #include "scheduler/detail/tasks.hpp"
+#include "scheduler/detail/trace.hpp"
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
@@ -86,6 +87,7 @@
         Call.Wait_ = Now < S.LossyUntil_ ? LossyRenewWait : BusyRenewWait;
     }
     Call.To_.Timeout_ += Call.Wait_;
+    traceAck(W, Now, Out);
     W.RenewInFlight_ = true;
     Out.Renewals_.push_back(std::move(Call));
   }
@@ -205,8 +207,8 @@
 }
 
 /// Runs that a list asked for after they were settled lacks have ended.
-void dropAbsent(State &S, Worker &W, const RenewReply &Reply,
-                TimePoint SentAt) {
+void dropAbsent(State &S, Worker &W, const RenewReply &Reply, TimePoint SentAt,
+                TimePoint Now, Outbox &Out) {
   std::set<TaskId> Listed;
   for (const RunningTask &R : Reply.Running_)
     Listed.insert(R.Task_);
@@ -218,6 +220,7 @@
     if (!T->Run_->SettledAt_ || *T->Run_->SettledAt_ >= SentAt)
       continue;
     count(S.Counters_, "run-absent");
+    traceGiveUp(S, Id, "absent", Now, Out);
     detachRun(S, Id);
     reconcileGang(S, Id.Step_);
   }
@@ -297,6 +300,7 @@
     return;
   }
   if (Reply.Status_ != CallStatus::Done) {
+    detail::traceMiss(S, W, Call, SentAt, Now, Out);
     detail::onMiss(S, W, Now);
     return;
   }
@@ -309,14 +313,16 @@
   detail::onIncarnation(S, W, Reply);
   W.Known_ = true;
   for (const EndedTask &End : Reply.Ended_) {
-    if (End.Number_ <= W.SeenEnd_)
+    if (End.Number_ <= W.SeenEnd_) {
+      detail::traceKnownEnd(S, Call.To_.Worker_, End, Out);
       continue;
+    }
     W.SeenEnd_ = End.Number_;
     S.AcksDirty_ = true;
     detail::applyEnd(S, Call.To_.Worker_, End, Now, Out);
   }
   detail::applyRunning(S, W, Reply, First, Now, Out);
-  detail::dropAbsent(S, W, Reply, SentAt);
+  detail::dropAbsent(S, W, Reply, SentAt, Now, Out);
   detail::adjustThrottle(S, W, Reply, Out);
   detail::stopStalled(S, W, Now, Out);
   detail::account(S, Call.To_.Worker_);
--- /dev/null
+++ b/packages/scheduler/tests/unit-trace.cpp
@@ -0,0 +1,92 @@
+/// Lines that tell why a task ran again.
+#include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/trace.hpp"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using scheduler::Note;
+
+namespace {
+
+std::vector<Note> notesOf(const FleetCell &C, const std::string &Event) {
+  std::vector<Note> Out;
+  std::copy_if(C.Notes_.begin(), C.Notes_.end(), std::back_inserter(Out),
+               [&](const Note &N) { return N.Event_ == Event; });
+  return Out;
+}
+
+/// Worker of the first start.
+WorkerId firstWorker(const FleetCell &C) {
+  const std::string &Start = C.Starts_.front();
+  return Start.substr(Start.find('@') + 1);
+}
+
+/// The only task's worker answers nothing until the task runs elsewhere.
+FleetCell &repeatElsewhere(FleetCell &C, Milliseconds RunTime) {
+  C.beginBusy(1, RunTime, Milliseconds(500));
+  C.worker(firstWorker(C)).Cut_ = true;
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 2; }));
+  return C;
+}
+
+} // namespace
+
+Test(trace, a_run_given_up_with_its_worker_is_told_with_its_calls) {
+  FleetCell C({"a", "b", "c"});
+  repeatElsewhere(C, Milliseconds(60'000));
+  std::vector<Note> GivenUp = notesOf(C, "run-given-up");
+  cr_assert_eq(GivenUp.size(), 1u);
+  const nlohmann::json &F = GivenUp.front().Fields_;
+  cr_assert(F["task"] == "j1.0.0.0");
+  cr_assert(F["run"] == 1);
+  cr_assert(F["worker"] == firstWorker(C));
+  cr_assert(F["cause"] == "lease");
+  cr_assert_gt(F["misses"].get<unsigned>(), 2u);
+  cr_assert_gt(F["first_miss_ms"].get<int>(), 2'000);
+  cr_assert_geq(F["answered_ms"].get<int>(), F["first_miss_ms"].get<int>());
+  cr_assert_eq(notesOf(C, "renewal-unanswered").size(), 1u,
+               "one line for all misses in a row");
+  std::vector<Note> Repeated = notesOf(C, "run-repeated");
+  cr_assert_eq(Repeated.size(), 1u);
+  cr_assert(Repeated.front().Fields_["earlier_worker"] == firstWorker(C));
+}
+
+Test(trace, an_end_that_arrives_after_the_give_up_is_told) {
+  // Done within the lease, and listed only once the task runs elsewhere.
+  FleetCell C({"a", "b", "c"});
+  repeatElsewhere(C, Milliseconds(1'500));
+  C.worker(firstWorker(C)).Cut_ = false;
+  cr_assert(C.runUntil(
+      [&] { return !notesOf(C, "ends-acknowledged-after-give-up").empty(); }));
+  std::vector<Note> Late = notesOf(C, "end-after-give-up");
+  cr_assert_eq(Late.size(), 1u);
+  const nlohmann::json &F = Late.front().Fields_;
+  cr_assert(F["end"] == "done");
+  cr_assert(F["run"] == 1);
+  cr_assert(F["new_run"] == 2);
+  cr_assert_eq(C.owner().State_.Counters_.at("end-after-give-up-done"), 1u);
+}
+
+Test(trace, a_calm_day_writes_none_of_these_lines) {
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
+  for (int I = 0; I < 10; ++I)
+    C.submit("j" + std::to_string(I), plainJob({plainStep(4)}));
+  cr_assert(C.runUntil([&] { return C.allClosed(); }));
+  for (const Note &N : C.Notes_)
+    cr_assert_not(N.Limited_, "%s", N.Event_.c_str());
+}
+
+Test(trace, unanswered_renewals_count_by_their_limit) {
+  FleetCell C({"a", "b", "c"});
+  repeatElsewhere(C, Milliseconds(60'000));
+  const Counters &All = C.owner().State_.Counters_;
+  cr_assert_gt(All.at("renewal-no-answer-350ms"), 0u);
+  cr_assert_gt(All.at("renewal-no-answer-130ms"), 0u);
+  cr_assert_eq(All.at("renewal-no-answer"),
+               All.at("renewal-no-answer-350ms") +
+                   All.at("renewal-no-answer-130ms"));
+}
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -246,6 +246,8 @@
     send(O, C);
   for (const auto &C : Out.Writes_)
     send(O, C);
+  for (scheduler::Note &N : Out.Notes_)
+    Notes_.push_back(std::move(N));
 }
 
 void FleetCell::send(Owner &O, const scheduler::RenewCall &C) {
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -100,9 +100,10 @@
   /// How runs go; by default each is done after 200 ms.
   std::function<Fate(const TaskId &, std::uint32_t)> FateOf_ =
       [](const TaskId &, std::uint32_t) { return Fate{Milliseconds(200)}; };
-  std::vector<std::string> Starts_; ///< "TASK#RUN@WORKER" in order.
-  std::vector<std::string> Trace_;  ///< What happened, for a reader.
-  std::vector<std::string> Broken_; ///< Rules broken so far.
+  std::vector<std::string> Starts_;    ///< "TASK#RUN@WORKER" in order.
+  std::vector<scheduler::Note> Notes_; ///< Lines that the owners logged.
+  std::vector<std::string> Trace_;     ///< What happened, for a reader.
+  std::vector<std::string> Broken_;    ///< Rules broken so far.
   std::uint64_t AdviceCalls_ = 0;
   /// Answer of the policy; by default it allows every worker.
   std::function<bool(const WorkerId &)> Allows_ = [](const WorkerId &) {
