--- /dev/null
+++ b/packages/scheduler/tests/unit-late-answers.cpp
@@ -0,0 +1,85 @@
+/// Answers of workers that the owner reads too late, or never.
+#include "fleet/fleet_cell.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using workflow::JobState;
+
+namespace {
+
+/// Longer than any call may take.
+constexpr Milliseconds LongLag{1'500};
+
+/// Job "j1" of 8 tasks of 2 s has begun; its ends come while \p Hinder is on.
+void beginAndHinder(FleetCell &C, const std::function<void(bool)> &Hinder) {
+  C.beginBusy(8, Milliseconds(2'000), Milliseconds(500));
+  Hinder(true);
+  C.run(Milliseconds(9'000));
+  Hinder(false);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+}
+
+void assertRanOnce(const FleetCell &C) {
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+  cr_assert_eq(C.Starts_.size(), 8u);
+}
+
+} // namespace
+
+// Guards against TWICE: an overloaded owner reads no answer within its limit,
+// takes the leases for over and starts tasks that workers reported as done.
+Test(late_answers, a_slow_owner_does_not_start_done_tasks_again) {
+  FleetCell C({"a", "b", "c"});
+  beginAndHinder(
+      C, [&](bool On) { C.owner().Lag_ = On ? LongLag : Milliseconds(0); });
+  assertRanOnce(C);
+}
+
+// Guards against TWICE: the same for an owner that stands still for a while.
+Test(late_answers, a_paused_owner_does_not_start_done_tasks_again) {
+  FleetCell C({"a", "b", "c"});
+  beginAndHinder(C, [&](bool On) {
+    if (On)
+      C.owner().FrozenUntil_ = C.Now_ + Milliseconds(8'500);
+  });
+  assertRanOnce(C);
+}
+
+// Guards against TWICE: answers of one worker are longer on their way than the
+// usual limit, while the owner itself is on time.
+Test(late_answers, a_slow_link_does_not_start_done_tasks_again) {
+  FleetCell C({"a", "b", "c"});
+  beginAndHinder(C, [&](bool On) {
+    C.worker("a").AnswerDelay_ = Milliseconds(On ? 900 : 0);
+  });
+  assertRanOnce(C);
+}
+
+// Guards against TWICE: a new owner takes the end of inherited leases for the
+// word of a worker whose answers it has not read.
+Test(late_answers, a_new_owner_does_not_start_done_tasks_again) {
+  FleetCell C({"a", "b", "c"});
+  C.beginBusy(8, Milliseconds(2'000), Milliseconds(1'500));
+  C.worker("a").AnswerDelay_ = Milliseconds(900);
+  C.run(Milliseconds(1'500));
+  C.killOwner();
+  C.takeOver();
+  C.run(Milliseconds(14'000));
+  C.worker("a").AnswerDelay_ = Milliseconds(0);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  assertRanOnce(C);
+}
+
+// Guards against LOST: tasks wait for ever for the word of a worker that is
+// named as alive and can't be reached.
+Test(late_answers, tasks_of_a_silent_worker_start_elsewhere_in_time) {
+  FleetCell C({"a", "b", "c"});
+  C.beginBusy(6, Milliseconds(60'000), Milliseconds(500));
+  std::string Where = C.Starts_.front().substr(C.Starts_.front().size() - 1);
+  C.worker(Where).Cut_ = true;
+  cr_assert(
+      C.runUntil([&] { return C.Starts_.size() > 6; }, Milliseconds(6'500)));
+  cr_assert(C.Broken_.empty());
+}
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -12,13 +12,14 @@
 
 } // namespace
 
-void end(FakeWorker &W, const TaskId &Id, EndKind Kind) {
+void end(FakeWorker &W, const TaskId &Id, EndKind Kind, TimePoint Now) {
   std::uint32_t Run = W.Runs_.at(Id).Number_;
   W.Runs_.erase(Id);
   W.Past_[Id] = std::max(W.Past_[Id], Run);
   bool Saved = Kind == EndKind::Stopped || Kind == EndKind::GangBroken;
   std::string Checkpoint = Saved ? "saved" : "";
   W.Ends_.push_back({++W.LastEnd_, Id, Run, Kind, Checkpoint});
+  W.EndedAt_[W.LastEnd_] = Now;
 }
 
 namespace {
@@ -42,16 +43,19 @@
 }
 
 void advance(FakeWorker &W, TimePoint Now) {
+  if (W.LeaseEndsAt_ <= Now)
+    W.LapsedAt_ = std::max(W.LapsedAt_, W.LeaseEndsAt_);
   auto Runs = W.Runs_;
   for (const auto &[Id, R] : Runs) {
     TimePoint DoneAt = R.WorksSince_ ? *R.WorksSince_ + R.Fate_.Length_
                                      : R.StartedAt_ + GangTime;
     if (DoneAt <= Now && DoneAt <= W.LeaseEndsAt_)
-      end(W, Id, R.WorksSince_ ? R.Fate_.Kind_ : EndKind::GangIncomplete);
+      end(W, Id, R.WorksSince_ ? R.Fate_.Kind_ : EndKind::GangIncomplete,
+          DoneAt);
     else if (W.LeaseEndsAt_ <= Now)
-      end(W, Id, EndKind::Lapsed);
+      end(W, Id, EndKind::Lapsed, Now);
     else if (R.StopsAt_ && *R.StopsAt_ <= Now)
-      end(W, Id, EndKind::Stopped);
+      end(W, Id, EndKind::Stopped, Now);
   }
 }
 
@@ -59,6 +63,7 @@
   W.Runs_.clear();
   W.Past_.clear();
   W.Ends_.clear();
+  W.EndedAt_.clear();
   W.LastEnd_ = 0;
   W.Token_ = 0;
   W.LeaseEndsAt_ = {};
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -33,7 +33,8 @@
 struct FakeWorker {
   scheduler::WorkerInfo Info_;
   bool Alive_ = true;
-  bool Cut_ = false; ///< No call reaches it; it runs on.
+  bool Cut_ = false;            ///< No call reaches it; it runs on.
+  Milliseconds AnswerDelay_{0}; ///< Its answers are longer on their way.
   Milliseconds ClockShift_{0};
   Token Token_ = 0;
   TimePoint LeaseEndsAt_{};
@@ -41,6 +42,8 @@
   std::map<TaskId, std::uint32_t> Past_; ///< Highest run ended or stopped.
   std::vector<EndedTask> Ends_;
   std::uint64_t LastEnd_ = 0;
+  std::map<std::uint64_t, TimePoint> EndedAt_; ///< Of each end, by its number.
+  TimePoint LapsedAt_{}; ///< When its leases were last over.
   /// What it reports of every task; empty for the share of its run time.
   std::optional<unsigned> Percent_;
   unsigned Gauge_ = 0; ///< What it reports of every task.
@@ -55,7 +58,7 @@
 
 Milliseconds clockOf(const FakeWorker &W, TimePoint Now);
 /// Ends the run at once.
-void end(FakeWorker &W, const TaskId &Id, EndKind Kind);
+void end(FakeWorker &W, const TaskId &Id, EndKind Kind, TimePoint Now);
 /// Ends what is over by \p Now: done, failed, stopped or without a lease.
 void advance(FakeWorker &W, TimePoint Now);
 /// Its process ends and starts again, knowing nothing.
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr Milliseconds TickInterval{20};
-constexpr Milliseconds OrderTimeout{350};
-constexpr Milliseconds RenewMargin{350};
 constexpr Milliseconds AppendTime{6};
 /// An owner without the store stops its orders after this time.
 constexpr Milliseconds SelfFence{4'000};
@@ -98,6 +96,7 @@
   FakeWorker &W = Workers_.at(Id);
   W.Alive_ = false;
   W.Runs_.clear();
+  forgetReported(Id);
   for (auto &O : Owners_)
     scheduler::onWorkerGone(O->State_, Id, Now_);
 }
@@ -219,8 +218,9 @@
 }
 
 void FleetCell::turn(Owner &O) {
-  if (isDown(O) || O.State_.Fenced_)
+  if (isDown(O) || O.State_.Fenced_ || Now_ < O.TurnDueAt_)
     return;
+  O.TurnDueAt_ = Now_ + O.Lag_;
   readStore(O);
   if (Now_ - O.StoreContactAt_ >= SelfFence)
     return;
@@ -250,24 +250,39 @@
     Notes_.push_back(std::move(N));
 }
 
+void FleetCell::answer(Owner &O, const scheduler::Target &To, TimePoint SentAt,
+                       bool Answered, std::function<void(bool)> Take) {
+  TimePoint Limit = SentAt + To.Timeout_;
+  TimePoint ReadAt =
+      Now_ + trip() + Workers_.at(To.Worker_).AnswerDelay_ + O.Lag_;
+  bool Heard = Answered && ReadAt <= Limit;
+  at(Heard ? ReadAt : std::max(Limit, Now_ + O.Lag_), [=, this, &O] {
+    if (!O.Alive_)
+      return;
+    if (!isDown(O))
+      return Take(Heard);
+    // Its limits have passed when it wakes.
+    at(O.FrozenUntil_, [=, this, &O] {
+      if (!isDown(O))
+        Take(false);
+    });
+  });
+}
+
 void FleetCell::send(Owner &O, const scheduler::RenewCall &C) {
   TimePoint SentAt = Now_;
   bool Lost = Random_.unit() < Failures_.LostAnswer_;
   at(Now_ + trip(), [=, this, &O] {
     scheduler::RenewReply Reply;
-    TimePoint AnswerAt = SentAt + C.Wait_ + RenewMargin;
-    if (reaches(C.To_.Worker_)) {
+    bool Reaches = reaches(C.To_.Worker_);
+    if (Reaches)
       Reply = renew(Workers_.at(C.To_.Worker_), C, Now_);
-      if (Lost)
-        Reply = {};
-      else
-        AnswerAt = Now_ + trip();
-    }
-    at(AnswerAt, [=, this, &O] {
-      if (isDown(O))
-        return;
+    if (Reaches && !Lost)
+      noteReported(O, C.To_.Worker_, Reply);
+    answer(O, C.To_, SentAt, Reaches && !Lost, [=, this, &O](bool Heard) {
       scheduler::Outbox Out;
-      scheduler::onRenewed(O.State_, C, Reply, SentAt, Now_, Out);
+      scheduler::onRenewed(O.State_, C, Heard ? Reply : scheduler::RenewReply{},
+                           SentAt, Now_, Out);
       perform(O, Out);
     });
   });
@@ -309,13 +324,9 @@
     if (!Late)
       applyStart(C, &Reply);
     bool Answered = Reply.Status_ != CallStatus::NoAnswer && !Lost;
-    if (!Answered)
-      Reply = {};
-    at(Answered ? Now_ + trip() : SentAt + OrderTimeout, [=, this, &O] {
-      if (isDown(O))
-        return;
+    answer(O, C.To_, SentAt, Answered, [=, this, &O](bool Heard) {
       scheduler::Outbox Out;
-      scheduler::onStart(O.State_, C, Reply, Now_, Out);
+      scheduler::onStart(O.State_, C, Heard ? Reply : OrderReply{}, Now_, Out);
       perform(O, Out);
     });
   });
@@ -331,13 +342,9 @@
     bool Answered = reaches(C.To_.Worker_);
     if (Answered)
       Reply = stop(Workers_.at(C.To_.Worker_), C, Now_);
-    if (Lost || !Answered)
-      Reply = {};
-    at(Lost || !Answered ? SentAt + OrderTimeout : Now_ + trip(),
-       [=, this, &O] {
-         if (!isDown(O))
-           scheduler::onStop(O.State_, C, Reply, Now_);
-       });
+    answer(O, C.To_, SentAt, Answered && !Lost, [=, this, &O](bool Heard) {
+      scheduler::onStop(O.State_, C, Heard ? Reply : OrderReply{}, Now_);
+    });
   });
 }
 
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -22,6 +22,10 @@
   bool Alive_ = true;
   bool CutFromStore_ = false;
   TimePoint FrozenUntil_{};
+  /// How late its event loop comes to everything: answers wait for so long to
+  /// be read, and turns are that far apart.
+  Milliseconds Lag_{0};
+  TimePoint TurnDueAt_{};
   TimePoint StoreContactAt_{};
   std::optional<scheduler::WriteCall> Rewrite_;
 };
@@ -33,6 +37,13 @@
   double LostAppend_ = 0; ///< Stored; the answer is lost.
 };
 
+/// An answer of a worker that has told of an end `done`. From then on no run of
+/// the task may start, and none may have started since the end.
+struct ReportedEnd {
+  WorkerId Worker_;
+  std::int64_t Incarnation_ = 0; ///< Of the worker.
+};
+
 class FleetCell {
 public:
   explicit FleetCell(std::uint64_t Seed = 1) : Random_{Seed} {}
@@ -126,10 +137,22 @@
   void send(Owner &O, const scheduler::StopCall &C);
   void send(Owner &O, const scheduler::AdviceCall &C);
   void send(Owner &O, const scheduler::WriteCall &C);
+  /// Hands an answer of a worker to the owner, or tells it that there is none:
+  /// \p Take is called with whether the owner read it within the call's limit.
+  void answer(Owner &O, const scheduler::Target &To, TimePoint SentAt,
+              bool Answered, std::function<void(bool Heard)> Take);
   void readStore(Owner &O);
   void applyStart(const scheduler::StartCall &C, scheduler::OrderReply *Reply);
   TimePoint contactOf(Token T) const;
   void checkStart(const scheduler::StartCall &C);
+  /// A worker that still knows of the end has told of it.
+  bool isReported(const TaskId &Id) const;
+  /// The worker tells \p O of its ends.
+  void noteReported(const Owner &O, const WorkerId &W,
+                    const scheduler::RenewReply &Reply);
+  /// Ends that were reported bind nobody any longer once the worker is cut off
+  /// or gone: its last answers may have got lost with it.
+  void forgetReported(const WorkerId &W);
   void checkWorkers();
   /// Gangs whose members are all there begin; those that lost one break up.
   void joinGangs();
@@ -145,6 +168,8 @@
   std::uint64_t NextOrder_ = 0;
   std::map<JobId, workflow::WorkflowSpec> Specs_;
   std::map<JobId, TimePoint> CancelledAt_;
+  std::map<TaskId, ReportedEnd> Reported_;
+  std::map<TaskId, TimePoint> LastStart_;
   std::uint64_t NextStart_ = 1;
 };
 
--- a/tests/fleet/fleet_checks.cpp
+++ b/tests/fleet/fleet_checks.cpp
@@ -33,6 +33,9 @@
                      std::to_string(C.Run_) + "@" + C.To_.Worker_;
   Starts_.push_back(Name);
   note("start " + Name + " token " + std::to_string(C.To_.Token_));
+  LastStart_[C.Task_] = Now_;
+  if (isReported(C.Task_))
+    broken("started after a worker reported it as done " + Name);
   if (whereIs(C.Task_).size() > 1)
     broken("twice at once " + Name);
   ledger::Replica Now;
@@ -58,6 +61,34 @@
   }
 }
 
+bool FleetCell::isReported(const TaskId &Id) const {
+  auto It = Reported_.find(Id);
+  return It != Reported_.end() &&
+         Workers_.at(It->second.Worker_).Info_.StartedUnixMs_ ==
+             It->second.Incarnation_;
+}
+
+void FleetCell::noteReported(const Owner &O, const WorkerId &Id,
+                             const scheduler::RenewReply &Reply) {
+  const FakeWorker &W = Workers_.at(Id);
+  if (!O.Alive_)
+    return;
+  for (const EndedTask &End : Reply.Ended_) {
+    auto EndedAt = W.EndedAt_.find(End.Number_);
+    if (End.Kind_ != EndKind::Done || EndedAt == W.EndedAt_.end() ||
+        W.LapsedAt_ > EndedAt->second || isReported(End.Task_))
+      continue;
+    Reported_[End.Task_] = {Id, W.Info_.StartedUnixMs_};
+    if (LastStart_[End.Task_] > EndedAt->second)
+      broken("started after its end " + workflow::toString(End.Task_));
+  }
+}
+
+void FleetCell::forgetReported(const WorkerId &Id) {
+  std::erase_if(Reported_,
+                [&](const auto &R) { return R.second.Worker_ == Id; });
+}
+
 namespace {
 
 struct GangMember {
@@ -93,7 +124,7 @@
         R.WorksSince_ = Now_;
         R.Fate_ = F;
       } else if (!All && G.Working_) {
-        end(*W, Id, EndKind::GangBroken);
+        end(*W, Id, EndKind::GangBroken, Now_);
       }
     }
   }
@@ -105,6 +136,8 @@
       advance(W, Now_);
   joinGangs();
   for (auto &[Id, W] : Workers_) {
+    if (!W.Alive_ || W.Cut_)
+      forgetReported(Id);
     if (!W.Alive_)
       continue;
     advance(W, Now_);
