A worker's tasks start elsewhere only after its word, or its silence shown

Cause: an owner that had no answer from a worker until the worker's lease was over took that for an end without result. The class: time without news taken for news. A new owner did the same when the time for inherited leases was over.

Change: after a worker's leases are over its tasks stay accounted to it until it answers, its address belongs to another, or it is silent: two renewals sent after the leases without an answer, with 1 s each, by an owner that made its turns on time (a pause of 150 ms makes earlier misses void) and that most other workers answer. One such renewal is enough for a worker that the registry has dropped. The same holds for inherited tasks. The lease alone still decides when nothing can run there any more; it decides no longer that nothing was done.

--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -116,6 +116,10 @@
   bool RenewInFlight_ = false;
   TimePoint RenewDueAt_{};
   unsigned Misses_ = 0; ///< Renewals in a row without an answer.
+  /// Renewals in a row without an answer that were sent after its leases were
+  /// over, by an owner that read its answers in time.
+  unsigned SilentCalls_ = 0;
+  TimePoint SilentSince_{}; ///< When the first of them was sent.
   /// Latest end of any lease that this owner has given there.
   TimePoint LeaseEndsAt_{};
   std::uint64_t SeenEnd_ = 0;
@@ -199,6 +203,7 @@
   bool StoreAway_ = false; ///< The owner can't read the store at present.
   bool Fenced_ = false;    ///< A worker has seen a higher token.
   TimePoint LastTick_{};
+  TimePoint PausedAt_{}; ///< Turn before which the owner was late.
   Counters Counters_;
 };
 
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -54,6 +54,25 @@
 bool couldTake(const Worker &W, const Job &J, const workflow::StepSpec &Spec,
                TimePoint Now);
 
+/// A turn of the owner begins.
+void noteTurn(State &S, TimePoint Now);
+/// Whether the owner has read answers without a long pause since \p Since.
+bool wasAttentive(const State &S, TimePoint Since, TimePoint Now);
+/// A renewal that was sent at \p SentAt got no answer within its limit.
+void noteUnanswered(State &S, Worker &W, TimePoint SentAt, TimePoint Now);
+void noteAnswered(Worker &W);
+/// Limit of the next renewal of a worker that left one unanswered.
+Milliseconds retryTimeout(const State &S, const Worker &W, TimePoint Now);
+/// Whether at least half of the workers answer. If not, the owner itself may be
+/// cut off.
+bool mostAnswer(const State &S);
+/// Whether the worker, whose leases are over, has been asked since and stays
+/// without an answer by no fault of the owner. As long as it isn't, its next
+/// list may still tell how its tasks ended. A worker that the registry names
+/// counts only if others answer (\p OthersAnswer).
+bool isSilent(const State &S, const Worker &W, bool OthersAnswer,
+              TimePoint Now);
+
 /// An answer of a worker got lost.
 void noteLoss(State &S, TimePoint Now);
 /// Accounts for a lease of \p Length that is given now.
--- a/packages/scheduler/detail/trace.hpp
+++ b/packages/scheduler/detail/trace.hpp
@@ -9,7 +9,7 @@
 namespace pollenvale::scheduler::detail {
 
 /// The task's run is about to be given up without word of its end. \p Cause:
-/// lease, replaced or absent.
+/// silent, replaced or absent.
 void traceGiveUp(State &S, const TaskId &Id, std::string_view Cause,
                  TimePoint Now, Outbox &Out);
 /// The task's run has just been planned; a line if an earlier one was given up.
--- /dev/null
+++ b/packages/scheduler/src/liveness.cpp
@@ -0,0 +1,85 @@
+/// What an owner may conclude from calls that were not answered. An owner that
+/// is late, paused or cut off, or that waited for too short a time, has learnt
+/// nothing about the worker.
+#include "scheduler/detail/tasks.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::scheduler::detail {
+
+namespace {
+
+/// An owner whose turns are further apart may have left answers unread.
+constexpr Milliseconds LongestPause{150};
+/// How long a worker that the registry names must leave calls unanswered, after
+/// its leases are over, until its tasks start elsewhere.
+constexpr Milliseconds SilenceLimit{1'000};
+/// A single answer may get lost.
+constexpr unsigned SilentCallsNeeded = 2;
+/// Limit of a renewal once one got no answer: a slow answer is worth more than
+/// an early repetition.
+constexpr Milliseconds SilentTimeout{1'000};
+constexpr Milliseconds SpanningTimeout{350};
+
+/// When the last lease on the worker is over, whoever gave it.
+TimePoint leasesEnd(const State &S, const Worker &W) {
+  return S.Unaccounted_.count(W.Info_.Id_)
+             ? std::max(W.LeaseEndsAt_, S.Options_.InheritedLeasesEndAt_)
+             : W.LeaseEndsAt_;
+}
+
+} // namespace
+
+void noteTurn(State &S, TimePoint Now) {
+  if (S.LastTick_ != TimePoint{} && Now - S.LastTick_ > LongestPause) {
+    S.PausedAt_ = Now;
+    count(S.Counters_, "turn-late");
+  }
+  S.LastTick_ = Now;
+}
+
+bool wasAttentive(const State &S, TimePoint Since, TimePoint Now) {
+  return S.PausedAt_ < Since && Now - S.LastTick_ <= LongestPause;
+}
+
+void noteUnanswered(State &S, Worker &W, TimePoint SentAt, TimePoint Now) {
+  ++W.Misses_;
+  bool Conclusive = SentAt >= leasesEnd(S, W) && wasAttentive(S, SentAt, Now);
+  if (!Conclusive || S.PausedAt_ >= W.SilentSince_)
+    W.SilentCalls_ = 0;
+  if (!Conclusive)
+    return;
+  if (W.SilentCalls_++ == 0)
+    W.SilentSince_ = SentAt;
+}
+
+void noteAnswered(Worker &W) {
+  W.Misses_ = 0;
+  W.SilentCalls_ = 0;
+}
+
+Milliseconds retryTimeout(const State &S, const Worker &W, TimePoint Now) {
+  Milliseconds Left = elapsed(Now, leasesEnd(S, W));
+  // A call that spans the end of the leases shows nothing.
+  bool SpansEnd = Left.count() > 0 && Left < SilentTimeout;
+  return SpansEnd ? SpanningTimeout : SilentTimeout;
+}
+
+bool mostAnswer(const State &S) {
+  std::size_t Listed = 0, Answering = 0;
+  for (const auto &[Id, W] : S.Workers_) {
+    Listed += W.Listed_;
+    Answering += W.Listed_ && W.Known_ && W.Misses_ == 0;
+  }
+  return Answering * 2 >= Listed;
+}
+
+bool isSilent(const State &S, const Worker &W, bool OthersAnswer,
+              TimePoint Now) {
+  if (W.SilentCalls_ == 0 || !wasAttentive(S, W.SilentSince_, Now))
+    return false;
+  return !W.Listed_ || (OthersAnswer && W.SilentCalls_ >= SilentCallsNeeded &&
+                        Now - W.SilentSince_ >= SilenceLimit);
+}
+
+} // namespace pollenvale::scheduler::detail
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -59,7 +59,7 @@
 } // namespace
 
 void tick(State &S, TimePoint Now, std::int64_t NowUnixMs, Outbox &Out) {
-  S.LastTick_ = Now;
+  detail::noteTurn(S, Now);
   if (S.Fenced_)
     return;
   std::set<JobId> Scheduled = S.Scheduled_;
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -85,7 +85,8 @@
       extendLease(S, W, Lease, Now);
       if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
         Call.Wait_ = Now < S.LossyUntil_ ? LossyRenewWait : BusyRenewWait;
-    }
+    } else if (W.Misses_ > 0)
+      Call.To_.Timeout_ = retryTimeout(S, W, Now);
     Call.To_.Timeout_ += Call.Wait_;
     traceAck(W, Now, Out);
     W.RenewInFlight_ = true;
@@ -109,12 +110,13 @@
 } // namespace
 
 void checkLeases(State &S, TimePoint Now, Outbox &Out) {
+  bool OthersAnswer = mostAnswer(S);
   for (auto It = S.Workers_.begin(); It != S.Workers_.end();) {
     Worker &W = It->second;
     releaseEmpty(S, W);
     bool Lapsed = Now > W.LeaseEndsAt_ || W.Released_;
-    if (Lapsed && W.Misses_ > 0)
-      loseTasks(S, W, Now, Out, "lease");
+    if (Lapsed && isSilent(S, W, OthersAnswer, Now))
+      loseTasks(S, W, Now, Out, "silent");
     if (Lapsed && !W.Listed_ && W.Tasks_.empty() && !W.RenewInFlight_ &&
         !S.Unaccounted_.count(It->first)) {
       It = S.Workers_.erase(It);
@@ -128,8 +130,13 @@
 void checkInheritance(State &S, TimePoint Now, Outbox &Out) {
   if (!S.InheritanceOpen_)
     return;
+  bool OthersAnswer = mostAnswer(S);
   if (Now >= S.Options_.InheritedLeasesEndAt_)
-    S.Unaccounted_.clear();
+    std::erase_if(S.Unaccounted_, [&](const WorkerId &Id) {
+      auto It = S.Workers_.find(Id);
+      return It == S.Workers_.end() ||
+             isSilent(S, It->second, OthersAnswer, Now);
+    });
   if (!S.Unaccounted_.empty())
     return;
   S.InheritanceOpen_ = false;
@@ -226,8 +233,8 @@
   }
 }
 
-void onMiss(State &S, Worker &W, TimePoint Now) {
-  ++W.Misses_;
+void onMiss(State &S, Worker &W, TimePoint SentAt, TimePoint Now) {
+  noteUnanswered(S, W, SentAt, Now);
   count(S.Counters_, "renewal-no-answer");
   noteLoss(S, Now);
   W.RenewDueAt_ = Now + RenewRetryInterval;
@@ -295,18 +302,18 @@
     detail::account(S, Call.To_.Worker_);
     W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
     detail::loseTasks(S, W, Now, Out, "replaced");
-    detail::onMiss(S, W, Now);
+    detail::onMiss(S, W, SentAt, Now);
     W.RenewDueAt_ = Now + Milliseconds(1'000);
     return;
   }
   if (Reply.Status_ != CallStatus::Done) {
     detail::traceMiss(S, W, Call, SentAt, Now, Out);
-    detail::onMiss(S, W, Now);
+    detail::onMiss(S, W, SentAt, Now);
     return;
   }
   if (Reply.Unreadable_ > 0)
     count(S.Counters_, "row-unreadable", Reply.Unreadable_);
-  W.Misses_ = 0;
+  detail::noteAnswered(W);
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
   bool First = !W.Known_;
