--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -147,7 +147,8 @@
   std::int64_t StartedUnixMs_ = 0;
   std::vector<RunningTask> Running_;
   std::vector<EndedTask> Ended_;
-  std::size_t Unreadable_ = 0; ///< Rows of the lists left out.
+  std::size_t UnreadableRuns_ = 0; ///< Rows left out of Running_.
+  std::size_t UnreadableEnds_ = 0; ///< Rows left out of Ended_.
 };
 
 struct OrderReply {
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -213,9 +213,12 @@
   }
 }
 
-/// Runs that a list asked for after they were settled lacks have ended.
+/// Runs that a list asked for after they were settled lacks have ended. A list
+/// with rows that can't be read may lack any of them.
 void dropAbsent(State &S, Worker &W, const RenewReply &Reply, TimePoint SentAt,
                 TimePoint Now, Outbox &Out) {
+  if (Reply.UnreadableRuns_ > 0)
+    return;
   std::set<TaskId> Listed;
   for (const RunningTask &R : Reply.Running_)
     Listed.insert(R.Task_);
@@ -311,8 +314,8 @@
     detail::onMiss(S, W, SentAt, Now);
     return;
   }
-  if (Reply.Unreadable_ > 0)
-    count(S.Counters_, "row-unreadable", Reply.Unreadable_);
+  if (std::size_t Rows = Reply.UnreadableRuns_ + Reply.UnreadableEnds_)
+    count(S.Counters_, "row-unreadable", Rows);
   detail::noteAnswered(W);
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
--- a/packages/scheduler/tests/unit-late-answers.cpp
+++ b/packages/scheduler/tests/unit-late-answers.cpp
@@ -83,3 +83,17 @@
       C.runUntil([&] { return C.Starts_.size() > 6; }, Milliseconds(6'500)));
   cr_assert(C.Broken_.empty());
 }
+
+// Guards against TWICE: a row that can't be read passes for a task that has
+// ended without a result.
+Test(late_answers, a_task_whose_row_is_unreadable_goes_on) {
+  FleetCell C({"a", "b", "c"});
+  C.beginBusy(6, Milliseconds(3'000), Milliseconds(500));
+  for (auto &[Id, W] : C.Workers_)
+    W.HidesRuns_ = true;
+  C.run(Milliseconds(1'500));
+  for (auto &[Id, W] : C.Workers_)
+    W.HidesRuns_ = false;
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), 6u);
+}
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -137,6 +137,10 @@
   std::erase_if(W.Ends_,
                 [&](const EndedTask &E) { return E.Number_ <= C.AckedEnd_; });
   Out.Ended_ = W.Ends_;
+  if (W.HidesRuns_) {
+    Out.UnreadableRuns_ = W.Runs_.size();
+    return Out;
+  }
   for (const auto &[Id, R] : W.Runs_)
     Out.Running_.push_back(
         {Id, R.Number_, "", percentOf(W, R, Now), double(W.Gauge_)});
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -46,7 +46,8 @@
   TimePoint LapsedAt_{}; ///< When its leases were last over.
   /// What it reports of every task; empty for the share of its run time.
   std::optional<unsigned> Percent_;
-  unsigned Gauge_ = 0; ///< What it reports of every task.
+  unsigned Gauge_ = 0;     ///< What it reports of every task.
+  bool HidesRuns_ = false; ///< Its rows of running tasks can't be read.
 };
 
 /// What the harness knows of a task and the worker does not.
