An owner that is late does not take unread answers for lost ones

Part of the cause is a feedback: one unanswered call shortened the limits of all calls to 130 ms for 4 s.

Now an owner whose turns were more than 60 ms apart within the last second leaves the limits as they are and waits 200 ms before it sends a start again. Answers lost by others' fault still shorten them.

Test: unit_scheduler late_answers::an_owner_that_was_late_for_a_moment_recovers; without the change the limits stay short (LossyUntil_ set).

--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -203,7 +203,8 @@
   bool StoreAway_ = false; ///< The owner can't read the store at present.
   bool Fenced_ = false;    ///< A worker has seen a higher token.
   TimePoint LastTick_{};
-  TimePoint PausedAt_{}; ///< Turn before which the owner was late.
+  TimePoint PausedAt_{};  ///< First turn after the last long pause.
+  TimePoint LateUntil_{}; ///< The owner's turns count as late until then.
   Counters Counters_;
 };
 
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -56,6 +56,8 @@
 
 /// A turn of the owner begins.
 void noteTurn(State &S, TimePoint Now);
+/// Whether the owner's turns were late a moment ago.
+bool isLate(const State &S, TimePoint Now);
 /// Whether the owner has read answers without a long pause since \p Since.
 bool wasAttentive(const State &S, TimePoint Since, TimePoint Now);
 /// A renewal that was sent at \p SentAt got no answer within its limit.
@@ -73,7 +75,8 @@
 bool isSilent(const State &S, const Worker &W, bool OthersAnswer,
               TimePoint Now);
 
-/// An answer of a worker got lost.
+/// An answer of a worker got lost, or came too late for an owner that is late
+/// itself: only the former shortens the limits of calls.
 void noteLoss(State &S, TimePoint Now);
 /// Accounts for a lease of \p Length that is given now.
 void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now);
--- a/packages/scheduler/src/liveness.cpp
+++ b/packages/scheduler/src/liveness.cpp
@@ -11,6 +11,9 @@
 
 /// An owner whose turns are further apart may have left answers unread.
 constexpr Milliseconds LongestPause{150};
+/// An owner whose turns are further apart reads answers late.
+constexpr Milliseconds LateTurn{60};
+constexpr Milliseconds LateTime{1'000};
 /// How long a worker that the registry names must leave calls unanswered, after
 /// its leases are over, until its tasks start elsewhere.
 constexpr Milliseconds SilenceLimit{1'000};
@@ -31,11 +34,19 @@
 } // namespace
 
 void noteTurn(State &S, TimePoint Now) {
-  if (S.LastTick_ != TimePoint{} && Now - S.LastTick_ > LongestPause) {
-    S.PausedAt_ = Now;
+  Milliseconds Gap =
+      S.LastTick_ == TimePoint{} ? Milliseconds(0) : elapsed(S.LastTick_, Now);
+  S.LastTick_ = Now;
+  if (Gap > LateTurn) {
+    S.LateUntil_ = Now + LateTime;
     count(S.Counters_, "turn-late");
   }
-  S.LastTick_ = Now;
+  if (Gap > LongestPause)
+    S.PausedAt_ = Now;
+}
+
+bool isLate(const State &S, TimePoint Now) {
+  return Now < S.LateUntil_ || Now - S.LastTick_ > LateTurn;
 }
 
 bool wasAttentive(const State &S, TimePoint Since, TimePoint Now) {
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -10,6 +10,7 @@
 /// A start without an answer is sent this often before it is stopped instead.
 constexpr unsigned MaxStartSends = 6;
 constexpr Milliseconds StopRetryInterval{200};
+constexpr Milliseconds LateRetryInterval{200};
 /// A worker that refuses a start is left alone for this long.
 constexpr Milliseconds RefusalPause{1'000};
 constexpr Milliseconds TaskRetryPause{50};
@@ -59,7 +60,9 @@
   S.Unsettled_.insert(Call.Task_);
   detail::noteLoss(S, Now);
   if (R.Sends_ < MaxStartSends && !R.StopWanted_) {
-    R.RetryAt_ = Now;
+    // The answer may wait to be read: an owner that is late sends no more than
+    // it must.
+    R.RetryAt_ = detail::isLate(S, Now) ? Now + LateRetryInterval : Now;
     return;
   }
   R.Phase_ = RunPhase::Unresolved;
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -61,7 +61,10 @@
           W.Info_.Labels_.count(Spec.RequiredLabel_));
 }
 
-void noteLoss(State &S, TimePoint Now) { S.LossyUntil_ = Now + LossyTime; }
+void noteLoss(State &S, TimePoint Now) {
+  if (!isLate(S, Now))
+    S.LossyUntil_ = Now + LossyTime;
+}
 
 void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now) {
   Length = std::min(Length, S.Options_.MaxLease_);
--- a/packages/scheduler/tests/unit-late-answers.cpp
+++ b/packages/scheduler/tests/unit-late-answers.cpp
@@ -21,8 +21,12 @@
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
 }
 
-void assertRanOnce(const FleetCell &C) {
+void assertRulesKept(const FleetCell &C) {
   cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+}
+
+void assertRanOnce(const FleetCell &C) {
+  assertRulesKept(C);
   cr_assert_eq(C.Starts_.size(), 8u);
 }
 
@@ -72,6 +76,23 @@
   assertRanOnce(C);
 }
 
+// Guards against SHORT: an owner that was late for a moment shortens the limits
+// of its calls below its own delay and never hears an answer again.
+Test(late_answers, an_owner_that_was_late_for_a_moment_recovers) {
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
+  C.run(Milliseconds(500));
+  C.owner().Lag_ = Milliseconds(500);
+  C.submit("j1", plainJob({plainStep(12)}));
+  C.run(Milliseconds(3'000));
+  C.owner().Lag_ = Milliseconds(150);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
+                       Milliseconds(5'000)));
+  cr_assert(C.owner().State_.LossyUntil_ == TimePoint{},
+            "answers that it read late are not lost");
+  assertRulesKept(C);
+}
+
 // Guards against LOST: tasks wait for ever for the word of a worker that is
 // named as alive and can't be reached.
 Test(late_answers, tasks_of_a_silent_worker_start_elsewhere_in_time) {
