--- a/apps/pollenvale/fleet/loop_watch.cpp
+++ b/apps/pollenvale/fleet/loop_watch.cpp
@@ -31,6 +31,7 @@
                 {"worst_ms", Worst_.count()},
                 {"late_ticks", LateTicks_},
                 {"calls", Stats.InFlight_},
+                {"not_sent", Stats.NotSent_ - Before_.NotSent_},
                 {"timeouts", Stats.Timeouts_ - Before_.Timeouts_},
                 {"connections", Stats.Connections_ - Before_.Connections_},
                 {"answers_unread", Stats.Unread_ - Before_.Unread_}});
@@ -42,6 +43,7 @@
 
 void LoopWatch::addCounters(Counters &All) const {
   http::ClientStats Stats = Http_.stats();
+  All["call-not-sent"] = Stats.NotSent_;
   All["call-timeout"] = Stats.Timeouts_;
   All["connection-opened"] = Stats.Connections_;
   All["answer-unread"] = Stats.Unread_;
--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -44,6 +44,7 @@
 /// Load of a client and what became of its calls.
 struct ClientStats {
   std::size_t InFlight_ = 0;
+  std::uint64_t NotSent_ = 0; ///< Ended while their connection opened.
   std::uint64_t Timeouts_ = 0;
   std::uint64_t Connections_ = 0; ///< Opened.
   /// Connections closed while part of an answer waited on them, unread.
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -202,8 +202,8 @@
   void finishDone() {
     for (auto &T : detail::takeFinished(Multi_, Transfers_)) {
       giveBack(*T);
-      if (T->Reply_.Status_ == ClientStatus::Timeout)
-        ++Stats_.Timeouts_;
+      Stats_.Timeouts_ += T->Reply_.Status_ == ClientStatus::Timeout;
+      Stats_.NotSent_ += T->Reply_.Status_ == ClientStatus::NotSent;
       // The callback may submit: it must not run inside libcurl's own.
       asio::post(Io_, [Shared = std::shared_ptr<Transfer>(std::move(T))] {
         Shared->Done_(std::move(Shared->Reply_));
--- a/packages/http/tests/unit-loop-client.cpp
+++ b/packages/http/tests/unit-loop-client.cpp
@@ -122,6 +122,7 @@
   int Answered = callMany(Io, *Client, Call, 1, milliseconds(5'000));
   http::ClientStats Stats = Client->stats();
   cr_assert_eq(Stats.InFlight_, 0u);
+  cr_assert_eq(Stats.NotSent_, 0u);
   cr_assert_eq(int(Stats.Timeouts_), 1 - Answered);
   cr_assert_eq(Stats.Unread_, Stats.Timeouts_);
   Client.reset();
