An answer that has arrived is read before its call times out

Cause: a late process wakes up with answers in its sockets and limits that have passed. libcurl looks at the limit before it reads, for every call whose time is up, whichever socket is handled first; it drops the answer and closes the connection, and the next call has to open one, which makes more calls late. Change: the loop's client keeps the limits itself. When one has passed, what is in the call's socket is read first; only then is the call given up, with its connection, since that may still bring the old answer. New calls of one turn share one step of libcurl instead of a timer each.

--- a/packages/http/detail/transfer.hpp
+++ b/packages/http/detail/transfer.hpp
@@ -16,12 +16,20 @@
   ClientReply Reply_;
   curl_slist *Headers_ = nullptr;
   CURL *Easy_ = nullptr;
+  curl_socket_t Socket_ = CURL_SOCKET_BAD; ///< Of its connection, if known.
+  /// Next limit: of opening the connection or of the whole call.
+  std::chrono::steady_clock::time_point DueAt_{};
+  std::chrono::steady_clock::time_point EndAt_{}; ///< Limit of the whole call.
 };
 
 /// Initialises libcurl once per process.
 void initializeCurl();
-/// Sets every option of \p T.Easy_ from \p T.Call_.
+/// Sets every option of \p T.Easy_ from \p T.Call_ but its limits.
 void prepare(Transfer &T);
+/// Has libcurl enforce the limits of \p T.Call_.
+void limitByLibrary(Transfer &T);
+/// Whether a byte of the request has left.
+bool isSent(const Transfer &T);
 /// Fills status, code and message of \p T.Reply_ after the transfer.
 void conclude(Transfer &T, CURLcode Code);
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -71,6 +71,7 @@
   void start(std::unique_ptr<Transfer> T) {
     CURL *Easy = T->Easy_ = curl_easy_init();
     detail::prepare(*T);
+    detail::limitByLibrary(*T);
     curl_multi_add_handle(Multi_, Easy);
     Transfers_[Easy] = std::move(T);
   }
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -2,6 +2,8 @@
 #include "http/http.hpp"
 
 #include <asio.hpp>
+#include <poll.h>
+#include <set>
 #include <unordered_map>
 
 namespace pollenvale::http {
@@ -15,6 +17,9 @@
 /// Handles kept for later calls; making one costs more than resetting it.
 constexpr std::size_t SpareHandles = 64;
 
+/// Reads of 16 KB in which an overdue answer must be complete.
+constexpr int MaxOverdueReads = 1'000;
+
 /// One way of waiting for a socket.
 struct Direction {
   int Poll_;  ///< What libcurl asks for.
@@ -28,6 +33,7 @@
   Watch(asio::io_context &Io, curl_socket_t Socket)
       : Socket_(Socket), Descriptor_(Io, Socket) {}
   curl_socket_t Socket_;
+  CURL *User_ = nullptr; ///< The call that watches it.
   asio::posix::stream_descriptor Descriptor_;
   int Wanted_ = 0; ///< CURL_POLL_IN, CURL_POLL_OUT or both.
   Direction Read_{CURL_POLL_IN, CURL_CSELECT_IN,
@@ -39,7 +45,7 @@
 class LoopClient : public Client {
 public:
   explicit LoopClient(asio::io_context &Io)
-      : Io_(Io), Timer_(Io), Multi_(curl_multi_init()) {
+      : Io_(Io), Timer_(Io), DeadlineTimer_(Io), Multi_(curl_multi_init()) {
     curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, CachedConnections);
     curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, onSocket);
     curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
@@ -49,6 +55,7 @@
 
   ~LoopClient() override {
     Timer_.cancel();
+    DeadlineTimer_.cancel();
     for (auto &[Easy, T] : Transfers_) {
       curl_multi_remove_handle(Multi_, Easy);
       curl_slist_free_all(T->Headers_);
@@ -73,8 +80,10 @@
     curl_easy_setopt(T->Easy_, CURLOPT_CLOSESOCKETFUNCTION, onClose);
     curl_easy_setopt(T->Easy_, CURLOPT_CLOSESOCKETDATA, this);
     CURL *Easy = T->Easy_;
+    setDeadlines(*T);
     Transfers_[Easy] = std::move(T);
     curl_multi_add_handle(Multi_, Easy);
+    armDeadline();
   }
 
 private:
@@ -97,13 +106,17 @@
     Spare_.push_back(T.Easy_);
   }
 
-  static int onSocket(CURL *, curl_socket_t Socket, int What, void *User,
+  static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *User,
                       void *) {
-    static_cast<LoopClient *>(User)->watch(Socket, What);
+    auto *Self = static_cast<LoopClient *>(User);
+    auto It = Self->Transfers_.find(Easy);
+    if (It != Self->Transfers_.end() && What != CURL_POLL_REMOVE)
+      It->second->Socket_ = Socket;
+    Self->watch(Easy, Socket, What);
     return 0;
   }
 
-  void watch(curl_socket_t Socket, int What) {
+  void watch(CURL *Easy, curl_socket_t Socket, int What) {
     auto It = Watches_.find(Socket);
     if (What == CURL_POLL_REMOVE) {
       if (It != Watches_.end())
@@ -113,6 +126,7 @@
     if (It == Watches_.end())
       It = Watches_.emplace(Socket, std::make_shared<Watch>(Io_, Socket)).first;
     It->second->Wanted_ = What;
+    It->second->User_ = Easy;
     arm(It->second);
   }
 
@@ -134,9 +148,7 @@
                std::error_code Err) {
     if (Err || !W->Descriptor_.is_open() || !(W->Wanted_ & D.Poll_))
       return;
-    int Active = 0;
-    curl_multi_socket_action(Multi_, W->Socket_, D.Event_, &Active);
-    finishDone();
+    step(W->Socket_, D.Event_);
     if (W->Descriptor_.is_open())
       arm(W);
   }
@@ -173,37 +185,135 @@
 
   static int onTimer(CURLM *, long TimeoutMs, void *User) {
     auto *Self = static_cast<LoopClient *>(User);
-    if (TimeoutMs < 0) {
+    if (TimeoutMs <= 0)
       Self->Timer_.cancel();
+    if (TimeoutMs == 0)
+      Self->postStep();
+    if (TimeoutMs <= 0)
       return 0;
-    }
     Self->Timer_.expires_after(std::chrono::milliseconds(TimeoutMs));
     Self->Timer_.async_wait([Self](std::error_code Err) {
-      if (Err)
-        return;
-      int Active = 0;
-      curl_multi_socket_action(Self->Multi_, CURL_SOCKET_TIMEOUT, 0, &Active);
-      Self->finishDone();
+      if (!Err)
+        Self->step(CURL_SOCKET_TIMEOUT, 0);
     });
     return 0;
   }
 
+  /// New calls of one turn of the loop share one step.
+  void postStep() {
+    if (StepPosted_)
+      return;
+    StepPosted_ = true;
+    asio::post(Io_, [this, Alive = std::weak_ptr<bool>(Alive_)] {
+      if (Alive.expired())
+        return;
+      StepPosted_ = false;
+      step(CURL_SOCKET_TIMEOUT, 0);
+    });
+  }
+
+  void step(curl_socket_t Socket, int Event) {
+    int Active = 0;
+    curl_multi_socket_action(Multi_, Socket, Event, &Active);
+    finishDone();
+  }
+
+  // libcurl's own limits are not used: it looks at the clock before it reads,
+  // so a late process would lose answers that have arrived.
+
+  void setDeadlines(Transfer &T) {
+    auto Now = Clock::now();
+    T.EndAt_ = T.DueAt_ = Now + T.Call_.Timeout_;
+    if (T.Call_.ConnectTimeout_.count() > 0)
+      T.DueAt_ = std::min(T.EndAt_, Now + T.Call_.ConnectTimeout_);
+    Deadlines_.emplace(T.DueAt_, T.Easy_);
+  }
+
+  void armDeadline() {
+    if (Deadlines_.empty() || Deadlines_.begin()->first >= DeadlineArmedFor_)
+      return;
+    DeadlineArmedFor_ = Deadlines_.begin()->first;
+    DeadlineTimer_.expires_at(DeadlineArmedFor_);
+    DeadlineTimer_.async_wait([this](std::error_code Err) {
+      if (!Err)
+        checkDeadlines();
+    });
+  }
+
+  void checkDeadlines() {
+    DeadlineArmedFor_ = Clock::time_point::max();
+    auto Now = Clock::now();
+    while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now)
+      expire(Deadlines_.begin()->second);
+    armDeadline();
+  }
+
+  /// Gives the call up unless what has arrived takes it further.
+  void expire(CURL *Easy) {
+    catchUp(Easy);
+    auto It = Transfers_.find(Easy);
+    if (It == Transfers_.end())
+      return;
+    std::unique_ptr<Transfer> &T = It->second;
+    Deadlines_.erase({T->DueAt_, Easy});
+    if (T->DueAt_ < T->EndAt_ && detail::isSent(*T)) {
+      T->DueAt_ = T->EndAt_;
+      Deadlines_.emplace(T->DueAt_, Easy);
+      return;
+    }
+    std::unique_ptr<Transfer> Over = std::move(T);
+    Transfers_.erase(It);
+    detail::conclude(*Over, CURLE_OPERATION_TIMEDOUT);
+    curl_socket_t Socket = Over->Socket_;
+    finish(std::move(Over));
+    auto Watched = Watches_.find(Socket);
+    if (Watched != Watches_.end() && Watched->second->User_ == Easy)
+      forget(Socket);
+  }
+
+  /// Lets libcurl handle what has happened at the call's socket by now.
+  void catchUp(CURL *Easy) {
+    for (int I = 0; I < MaxOverdueReads; ++I) {
+      auto It = Transfers_.find(Easy);
+      if (It == Transfers_.end() || It->second->Socket_ == CURL_SOCKET_BAD)
+        return;
+      bool Sent = detail::isSent(*It->second);
+      pollfd P{It->second->Socket_, short(Sent ? POLLIN : POLLOUT), 0};
+      if (::poll(&P, 1, 0) <= 0)
+        return;
+      step(P.fd, Sent ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
+    }
+  }
+
   void finishDone() {
     for (auto &T : detail::takeFinished(Multi_, Transfers_)) {
-      giveBack(*T);
-      // The callback may submit: it must not run inside libcurl's own.
-      asio::post(Io_, [Shared = std::shared_ptr<Transfer>(std::move(T))] {
-        Shared->Done_(std::move(Shared->Reply_));
-      });
+      Deadlines_.erase({T->DueAt_, T->Easy_});
+      finish(std::move(T));
     }
   }
 
+  void finish(std::unique_ptr<Transfer> T) {
+    giveBack(*T);
+    // The callback may submit: it must not run inside libcurl's own.
+    asio::post(Io_, [Shared = std::shared_ptr<Transfer>(std::move(T))] {
+      Shared->Done_(std::move(Shared->Reply_));
+    });
+  }
+
+  using Clock = std::chrono::steady_clock;
+
   asio::io_context &Io_;
-  asio::steady_timer Timer_;
+  asio::steady_timer Timer_; ///< libcurl's.
+  asio::steady_timer DeadlineTimer_;
+  Clock::time_point DeadlineArmedFor_ = Clock::time_point::max();
   CURLM *Multi_;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches_;
   std::unordered_map<CURL *, std::unique_ptr<Transfer>> Transfers_;
+  /// Next limit of each open call.
+  std::set<std::pair<Clock::time_point, CURL *>> Deadlines_;
   std::vector<CURL *> Spare_;
+  bool StepPosted_ = false;
+  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -28,7 +28,7 @@
   return Length;
 }
 
-ClientStatus classify(CURL *Easy, CURLcode Code) {
+ClientStatus classify(const Transfer &T, CURLcode Code) {
   switch (Code) {
   case CURLE_OK:
     return ClientStatus::Answered;
@@ -38,13 +38,8 @@
     return ClientStatus::NotSent;
   case CURLE_PARTIAL_FILE:
     return ClientStatus::Truncated;
-  case CURLE_OPERATION_TIMEDOUT: {
-    // A connection that is used again has no connect time: only the bytes
-    // written tell whether the request may have arrived.
-    long Written = 0;
-    curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Written);
-    return Written == 0 ? ClientStatus::NotSent : ClientStatus::Timeout;
-  }
+  case CURLE_OPERATION_TIMEDOUT:
+    return isSent(T) ? ClientStatus::Timeout : ClientStatus::NotSent;
   default:
     return ClientStatus::Lost;
   }
@@ -74,10 +69,6 @@
     T.Headers_ = curl_slist_append(T.Headers_, H.c_str());
   curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, T.Headers_);
   curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, long(CURL_HTTP_VERSION_1_1));
-  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, long(Call.Timeout_.count()));
-  if (Call.ConnectTimeout_.count() > 0)
-    curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     long(Call.ConnectTimeout_.count()));
   curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, Call.Fresh_ ? 1L : 0L);
@@ -88,10 +79,26 @@
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &T);
 }
 
+void limitByLibrary(Transfer &T) {
+  const ClientCall &Call = T.Call_;
+  curl_easy_setopt(T.Easy_, CURLOPT_TIMEOUT_MS, long(Call.Timeout_.count()));
+  if (Call.ConnectTimeout_.count() > 0)
+    curl_easy_setopt(T.Easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                     long(Call.ConnectTimeout_.count()));
+}
+
+bool isSent(const Transfer &T) {
+  // A connection that is used again has no connect time: only the bytes written
+  // tell whether the request may have arrived.
+  long Written = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_REQUEST_SIZE, &Written);
+  return Written > 0;
+}
+
 void conclude(Transfer &T, CURLcode Code) {
   long Status = 0;
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
-  T.Reply_.Status_ = classify(T.Easy_, Code);
+  T.Reply_.Status_ = classify(T, Code);
   T.Reply_.Code_ = int(Status);
   if (Code != CURLE_OK)
     T.Reply_.Message_ = curl_easy_strerror(Code);
