Log reads of the store that fail, with how far the copy is behind

Nothing told that an entry's copy of a partition stood still: an owner that logs no job-taken may have no jobs or read none. store-read-failed, at most once a second for each partition, names the first record that is missing, how long the read took and how old the copy is.

--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -1,6 +1,7 @@
 #include "fleet/follower.hpp"
 
 #include "fleet/clock.hpp"
+#include "observe/observe.hpp"
 
 namespace pollenvale::fleet {
 
@@ -36,6 +37,8 @@
     Events_.OnLoaded_(LoadedKeys_);
   if (Tail_.Reachable_)
     Events_.OnAnswer_();
+  else
+    logFailure();
   poll();
 }
 
@@ -50,9 +53,24 @@
     Events_.OnRecord_(R);
   if (Tail_.Reachable_)
     Events_.OnAnswer_();
+  else
+    logFailure();
   poll();
 }
 
+void Follower::logFailure() {
+  constexpr Milliseconds Interval{1'000};
+  if (now() - LoggedAt_ < Interval)
+    return;
+  LoggedAt_ = now();
+  observe::log(observe::Level::Warning, "store-read-failed",
+               {{"topic", Tail_.Options_.From_.Topic_},
+                {"partition", Tail_.Options_.From_.Number_},
+                {"next", Tail_.Next_},
+                {"took_ms", elapsed(Tail_.SentAt_, now()).count()},
+                {"behind_ms", elapsed(Tail_.CurrentAt_, now()).count()}});
+}
+
 void Follower::deliver(std::vector<ledger::KeyedRecord> Records) {
   if (Stopped_)
     return;
--- a/apps/pollenvale/fleet/follower.hpp
+++ b/apps/pollenvale/fleet/follower.hpp
@@ -31,12 +31,15 @@
 private:
   void onNewest(const ledger::NewestReply &Reply);
   void onRead(const ledger::ReadReply &Reply);
+  /// Logs that the store did not answer, at most once a second.
+  void logFailure();
 
   ledger::Store &Store_;
   ledger::Tail &Tail_;
   FollowerEvents Events_;
   std::set<std::string> LoadedKeys_;
   bool Stopped_ = false;
+  TimePoint LoggedAt_{};
 };
 
 } // namespace pollenvale::fleet
