Reads of the store bound the size of their answer

No size was sent, so the store may answer with 1 MB, 0.84 s on a link of 10 Mbit/s: suspected from the figures, the size was not logged.

A read now asks for at most 128 kB and goes on where it ended.

--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -60,6 +60,9 @@
   Offset Offset_ = 0;
   Milliseconds Wait_{0};        ///< How long the store may wait for a record.
   Milliseconds Timeout_{1'000}; ///< Beyond Wait_.
+  /// Most bytes of an answer: 0.1 s on a link of 10 Mbit/s, so that an entry
+  /// that has fallen behind catches up in steps that end within the limit.
+  std::size_t MaxBytes_ = 128 * 1'024;
 };
 
 /// Asks for the newest record of each key.
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -148,3 +148,16 @@
   cr_assert(deliver(T, stored(0, 1), T0).empty());
   cr_assert_eq(T.Next_, 0u);
 }
+
+// Guards against LOST: each read of a slow reader ends at its limit, with an
+// answer that is too long for its link.
+Test(tail, a_read_that_failed_is_repeated_with_an_answer_that_fits) {
+  Tail T;
+  onSent(T, T0);
+  cr_assert(onNewest(T, page(7, false), T0));
+  onRead(T, {}, T0);
+  ReadCall Call = nextRead(T);
+  constexpr std::size_t BytesPerMs = 10'000 / 8; // 10 Mbit/s
+  cr_assert_lt(Call.MaxBytes_ / BytesPerMs * 2,
+               std::size_t(Call.Timeout_.count()));
+}
