A placement pass asks little of workers without room

Callers saw: on the grown sites the owner of 252 workers is late with everything. Cause: a pass, up to 200 a second, looked at each worker for each waiting step: four lookups by name, all reservations and the tasks on it, before it asked whether there is room; steps that only wait for the policy's answer went through all of that too. Change: a pass lists the workers that take tasks once, with their free room, and checks room before anything else; a step whose answer is under way and that has no permit is passed over; the waiting steps are looked up once; the costs of named workers are worked out once each. With more than 100 waiting steps the passes are spaced wider, up to 25 ms, by the number of steps.

--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -17,18 +17,54 @@
 /// A permit must last this much longer when its start is sent.
 constexpr Milliseconds PermitMargin{120};
 
+/// Time between two passes for each step that waits: a pass looks at all.
+constexpr std::chrono::microseconds IntervalPerStep{50};
+constexpr Milliseconds LongestInterval{25};
+
+/// A worker that takes tasks, as one pass sees it.
+struct OpenWorker {
+  Worker *Worker_ = nullptr;
+  Resources Free_;
+};
+
+/// A waiting step with what belongs to it.
 struct WaitingStep {
   WaitKey Key_;
   StepId Id_;
+  Job *Job_ = nullptr;
+  Step *Step_ = nullptr;
+  const workflow::StepSpec *Spec_ = nullptr;
+  Resources Size_; ///< What one task takes.
 };
 
+/// One look at all waiting steps.
+struct Pass {
+  State &State_;
+  TimePoint Now_;
+  Outbox &Out_;
+  std::vector<OpenWorker> Open_; ///< In the order of their names.
+};
+
+Pass beginPass(State &S, TimePoint Now, Outbox &Out) {
+  Pass X{S, Now, Out, {}};
+  X.Open_.reserve(S.Workers_.size());
+  for (auto &[Name, W] : S.Workers_)
+    if (takesTasks(W, Now))
+      X.Open_.push_back({&W, freeRoom(W)});
+  return X;
+}
+
 std::vector<WaitingStep> orderWaiting(State &S, TimePoint Now) {
   std::vector<WaitingStep> Out;
+  Out.reserve(S.Waiting_.size());
   for (const StepId &Id : S.Waiting_) {
-    const Job &J = S.Jobs_.at(Id.Job_);
+    Job &J = S.Jobs_.at(Id.Job_);
     if (J.Inherited_ && S.InheritanceOpen_)
       continue;
-    Out.push_back({waitKey(J, *findStep(S, Id), Now), Id});
+    Step &P = J.Open_.at(Id.Occurrence_).Steps_[Id.Step_];
+    const workflow::StepSpec &Spec = J.Spec_.Steps_[Id.Step_];
+    Out.push_back(
+        {waitKey(J, P, Now), Id, &J, &P, &Spec, workflow::chargedSize(Spec)});
   }
   std::sort(Out.begin(), Out.end(),
             [](const WaitingStep &A, const WaitingStep &B) {
@@ -45,16 +81,25 @@
   return Count;
 }
 
-/// Room on the worker that other steps have reserved.
-Resources reservedByOthers(const State &S, const WorkerId &W,
-                           const StepId &Id) {
-  Resources Out;
+using ReservedRoom = std::map<std::string_view, Resources>;
+
+/// Room that other steps have reserved, by worker.
+ReservedRoom reservedByOthers(const State &S, const StepId &Id) {
+  ReservedRoom Out;
   for (const Reservation &R : S.Reservations_)
-    if (R.Worker_ == W && !(R.Step_ == Id))
-      Out += R.Room_;
+    if (!(R.Step_ == Id))
+      Out[R.Worker_] += R.Room_;
   return Out;
 }
 
+/// couldTake() for a worker that takes tasks.
+bool couldTake(const Worker &W, const WaitingStep &X) {
+  return W.Info_.Service_ == X.Job_->Queue_.Service_ &&
+         fits(X.Size_, W.Info_.Capacity_) &&
+         (X.Spec_->RequiredLabel_.empty() ||
+          W.Info_.Labels_.count(X.Spec_->RequiredLabel_));
+}
+
 void dropReservations(State &S, const StepId &Id) {
   std::erase_if(S.Reservations_,
                 [&](const Reservation &R) { return R.Step_ == Id; });
@@ -73,49 +118,52 @@
 
 /// Keeps the worker with the most free room, among those that could ever take
 /// a task of the step, from taking other tasks until there is room.
-void reserveLargest(State &S, const StepId &Id, TimePoint Now) {
+void reserveLargest(Pass &X, const WaitingStep &W) {
   constexpr Milliseconds Longest{300};
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  const Job &J = S.Jobs_.at(Id.Job_);
-  const Step &P = *findStep(S, Id);
-  const Worker *Best = nullptr;
+  const OpenWorker *Best = nullptr;
   std::tuple<bool, std::int64_t, std::int64_t> BestRank;
-  for (const auto &[Name, W] : S.Workers_) {
-    bool Suits =
-        couldTake(W, J, Spec, Now) && !P.Denied_.count(Name) &&
-        (Spec.MaxPerWorker_ == 0 || tasksOn(W, Id) < Spec.MaxPerWorker_);
-    bool Allowed = P.Permits_.count(Name) > 0;
-    auto Rank =
-        std::tuple(Allowed, freeRoom(W).Accelerators_, freeRoom(W).Cpu_);
+  for (const OpenWorker &O : X.Open_) {
+    auto Rank = std::tuple(true, O.Free_.Accelerators_, O.Free_.Cpu_);
+    if ((Best && Rank <= BestRank) || !couldTake(*O.Worker_, W))
+      continue;
+    const WorkerId &Name = O.Worker_->Info_.Id_;
+    std::get<bool>(Rank) = W.Step_->Permits_.count(Name) > 0;
+    bool Suits = !W.Step_->Denied_.count(Name) &&
+                 (W.Spec_->MaxPerWorker_ == 0 ||
+                  tasksOn(*O.Worker_, W.Id_) < W.Spec_->MaxPerWorker_);
     if (Suits && (!Best || Rank > BestRank)) {
-      Best = &W;
+      Best = &O;
       BestRank = Rank;
     }
   }
   if (!Best)
     return;
-  dropReservations(S, Id);
-  S.Reservations_.push_back(
-      {Id, Best->Info_.Id_, Best->Info_.Capacity_, Now + Longest});
+  const WorkerInfo &Info = Best->Worker_->Info_;
+  dropReservations(X.State_, W.Id_);
+  X.State_.Reservations_.push_back(
+      {W.Id_, Info.Id_, Info.Capacity_, X.Now_ + Longest});
 }
 
-std::vector<Candidate> candidates(State &S, const StepId &Id, TimePoint Now) {
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  const Job &J = S.Jobs_.at(Id.Job_);
-  Step &P = *findStep(S, Id);
-  Resources Size = workflow::chargedSize(Spec);
+std::vector<Candidate> candidates(Pass &X, const WaitingStep &W) {
+  ReservedRoom Reserved = reservedByOthers(X.State_, W.Id_);
+  bool Advised = W.Job_->Queue_.Advice_.has_value();
   std::vector<Candidate> Out;
-  for (auto &[WorkerName, W] : S.Workers_) {
-    if (!couldTake(W, J, Spec, Now) || P.Denied_.count(WorkerName))
+  for (OpenWorker &O : X.Open_) {
+    // Most workers of a busy fleet have no room; the rest is costlier to tell.
+    if (!fits(W.Size_, O.Free_) || !couldTake(*O.Worker_, W))
       continue;
-    Candidate C{&W, freeRoom(W) - reservedByOthers(S, WorkerName, Id)};
-    if (!fits(Size, C.Free_))
+    const WorkerId &Name = O.Worker_->Info_.Id_;
+    Candidate C{O.Worker_, O.Free_};
+    if (auto R = Reserved.find(Name); R != Reserved.end())
+      C.Free_ -= R->second;
+    if (!fits(W.Size_, C.Free_) || W.Step_->Denied_.count(Name))
       continue;
-    C.OnIt_ = tasksOn(W, Id);
-    auto Permit = P.Permits_.find(WorkerName);
-    C.Allowed_ = Permit != P.Permits_.end();
-    C.Permitted_ = !J.Queue_.Advice_ ||
-                   (C.Allowed_ && Permit->second.Until_ > Now + PermitMargin);
+    if (W.Spec_->MaxPerWorker_ > 0)
+      C.OnIt_ = tasksOn(*O.Worker_, W.Id_);
+    auto Permit = W.Step_->Permits_.find(Name);
+    C.Allowed_ = Permit != W.Step_->Permits_.end();
+    C.Permitted_ = !Advised || (C.Allowed_ &&
+                                Permit->second.Until_ > X.Now_ + PermitMargin);
     Out.push_back(C);
   }
   return Out;
@@ -155,35 +203,47 @@
   return Out;
 }
 
-void startTasks(State &S, const StepId &Id, const std::vector<Placed> &Where,
-                TimePoint Now, Outbox &Out) {
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  Job &J = S.Jobs_.at(Id.Job_);
-  Step &P = *findStep(S, Id);
+/// Notes how much room the workers of \p Where have left.
+void refreshRoom(Pass &X, const std::vector<Placed> &Where) {
+  for (const Placed &Y : Where) {
+    auto It = std::lower_bound(X.Open_.begin(), X.Open_.end(), Y.Worker_,
+                               [](const OpenWorker &O, const Worker *W) {
+                                 return O.Worker_->Info_.Id_ < W->Info_.Id_;
+                               });
+    It->Free_ = freeRoom(*Y.Worker_);
+  }
+}
+
+void startTasks(Pass &X, const WaitingStep &W,
+                const std::vector<Placed> &Where) {
+  State &S = X.State_;
+  Step &P = *W.Step_;
   std::uint32_t GangRun = 0;
   for (const Task &T : P.Tasks_)
     GangRun = std::max(GangRun, T.LastRun_);
   if (P.FirstStartAt_ == TimePoint{})
-    P.FirstStartAt_ = Now;
-  P.LastStartAt_ = Now;
-  for (const Placed &X : Where) {
+    P.FirstStartAt_ = X.Now_;
+  P.LastStartAt_ = X.Now_;
+  for (const Placed &Y : Where) {
+    TaskId Id{W.Id_, Y.Index_};
     Run R;
-    R.Number_ = 1 + (Spec.Gang_ ? GangRun : P.Tasks_[X.Index_].LastRun_);
-    R.Worker_ = X.Worker_->Info_.Id_;
-    R.Charged_ = workflow::chargedSize(Spec);
-    R.StartedAt_ = Now;
+    R.Number_ = 1 + (W.Spec_->Gang_ ? GangRun : P.Tasks_[Y.Index_].LastRun_);
+    R.Worker_ = Y.Worker_->Info_.Id_;
+    R.Charged_ = W.Size_;
+    R.StartedAt_ = X.Now_;
     auto Permit = P.Permits_.find(R.Worker_);
     if (Permit != P.Permits_.end())
       R.Permit_ = Permit->second.Text_;
-    attachRun(S, {Id, X.Index_}, std::move(R));
-    Out.Starts_.push_back(makeStart(S, {Id, X.Index_}, Now));
+    attachRun(S, Id, std::move(R));
+    X.Out_.Starts_.push_back(makeStart(S, Id, X.Now_));
     count(S.Counters_, "start-sent");
   }
-  if (J.State_ == workflow::JobState::Queued) {
-    J.State_ = workflow::JobState::Running;
-    markDirty(S, J);
+  refreshRoom(X, Where);
+  if (W.Job_->State_ == workflow::JobState::Queued) {
+    W.Job_->State_ = workflow::JobState::Running;
+    markDirty(S, *W.Job_);
   }
-  refreshWaiting(S, Id);
+  refreshWaiting(S, W.Id_);
 }
 
 /// Whether all of a gang could run at once if the policy allowed it.
@@ -195,37 +255,37 @@
   return Room >= Spec.Count_;
 }
 
-/// Workers without room now that the policy has not been asked about.
-std::vector<WorkerId> unknownWorkers(const State &S, const StepId &Id,
-                                     const std::vector<Candidate> &All,
-                                     TimePoint Now) {
-  const Job &J = S.Jobs_.at(Id.Job_);
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  const Step &P = J.Open_.at(Id.Occurrence_).Steps_[Id.Step_];
-  std::set<WorkerId> Known;
-  for (const Candidate &C : All)
-    Known.insert(C.Worker_->Info_.Id_);
+/// Workers that the policy has not been asked about and that are not in \p All,
+/// which is in the order of names too.
+std::vector<WorkerId> unknownWorkers(const Pass &X, const WaitingStep &W,
+                                     const std::vector<Candidate> &All) {
   std::vector<WorkerId> Out;
-  for (const auto &[Name, W] : S.Workers_)
-    if (!Known.count(Name) && !P.Denied_.count(Name) &&
-        !P.Permits_.count(Name) && couldTake(W, J, Spec, Now))
+  auto Known = All.begin();
+  for (const OpenWorker &O : X.Open_) {
+    if (Known != All.end() && Known->Worker_ == O.Worker_) {
+      ++Known;
+      continue;
+    }
+    const WorkerId &Name = O.Worker_->Info_.Id_;
+    if (couldTake(*O.Worker_, W) && !W.Step_->Denied_.count(Name) &&
+        !W.Step_->Permits_.count(Name))
       Out.push_back(Name);
+  }
   return Out;
 }
 
-void askForAdvice(State &S, const StepId &Id, const std::vector<Candidate> &All,
-                  std::uint32_t Tasks, TimePoint Now, Outbox &Out) {
-  const Job &J = S.Jobs_.at(Id.Job_);
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  Step &P = *findStep(S, Id);
-  if (!J.Queue_.Advice_ || P.AdviceInFlight_ || Now < P.AdviceNotBefore_)
+void askForAdvice(Pass &X, const WaitingStep &W,
+                  const std::vector<Candidate> &All, std::uint32_t Tasks) {
+  const Job &J = *W.Job_;
+  Step &P = *W.Step_;
+  if (!J.Queue_.Advice_ || P.AdviceInFlight_ || X.Now_ < P.AdviceNotBefore_)
     return;
-  if (Spec.Gang_ && !gangFits(Spec, All))
+  if (W.Spec_->Gang_ && !gangFits(*W.Spec_, All))
     return;
   AdviceCall Call;
-  Call.Step_ = Id;
-  Call.Workers_ = chooseForAdvice(Spec, *J.Queue_.Advice_, All,
-                                  unknownWorkers(S, Id, All, Now), Tasks);
+  Call.Step_ = W.Id_;
+  Call.Workers_ = chooseForAdvice(*W.Spec_, *J.Queue_.Advice_, All,
+                                  unknownWorkers(X, W, All), Tasks);
   if (Call.Workers_.empty())
     return;
   Call.Priority_ = J.Queue_.Priority_;
@@ -234,80 +294,96 @@
   Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
                                              J.Queue_.Advice_->PerWorkerMs_ *
                                                  double(Call.Workers_.size())));
-  if (Spec.LongRunning_)
-    reserveNamed(S, Call, workflow::chargedSize(Spec), Now);
+  if (W.Spec_->LongRunning_)
+    reserveNamed(X.State_, Call, W.Size_, X.Now_);
   P.AdviceInFlight_ = true;
   ++P.AdviceCalls_;
   if (P.AdviceAskedAt_ == TimePoint{})
-    P.AdviceAskedAt_ = Now;
-  count(S.Counters_, "advice-asked");
-  Out.Advice_.push_back(std::move(Call));
+    P.AdviceAskedAt_ = X.Now_;
+  count(X.State_.Counters_, "advice-asked");
+  X.Out_.Advice_.push_back(std::move(Call));
 }
 
 /// A step that no worker may run would wait for ever: the policy is asked anew
 /// now and then.
-void askAgainIfAllDenied(State &S, const StepId &Id, TimePoint Now) {
+void askAgainIfAllDenied(Pass &X, const WaitingStep &W) {
   constexpr Milliseconds Interval{4'000};
-  const Job &J = S.Jobs_.at(Id.Job_);
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  Step &P = *findStep(S, Id);
-  if (P.Denied_.empty() || P.AdviceInFlight_ || Now < P.DeniedRecheckAt_)
+  Step &P = *W.Step_;
+  if (P.Denied_.empty() || P.AdviceInFlight_ || X.Now_ < P.DeniedRecheckAt_)
     return;
-  for (const auto &[Name, W] : S.Workers_)
-    if (couldTake(W, J, Spec, Now) && !P.Denied_.count(Name))
+  for (const OpenWorker &O : X.Open_)
+    if (couldTake(*O.Worker_, W) && !P.Denied_.count(O.Worker_->Info_.Id_))
       return;
   if (P.DeniedRecheckAt_ != TimePoint{}) {
-    count(S.Counters_, "advice-all-denied");
+    count(X.State_.Counters_, "advice-all-denied");
     P.Denied_.clear();
   }
-  P.DeniedRecheckAt_ = Now + Interval;
+  P.DeniedRecheckAt_ = X.Now_ + Interval;
 }
 
 /// Large tasks wait for a worker to empty; small ones would fill it again and
 /// again. At most a quarter of the workers are kept free for them.
-bool mayReserve(const State &S, const StepId &Id, TimePoint Now) {
+bool mayReserve(const State &S, const WaitingStep &W, TimePoint Now) {
   constexpr std::size_t WorkersPerReserved = 4;
-  const Job &J = S.Jobs_.at(Id.Job_);
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  if (Now > J.DueAt_ || Spec.Size_.Accelerators_ == 0)
+  std::int64_t Needed = W.Spec_->Size_.Accelerators_;
+  if (Now > W.Job_->DueAt_ || Needed == 0)
     return false;
-  std::set<WorkerId> Reserved;
+  std::set<std::string_view> Reserved;
   for (const Reservation &R : S.Reservations_)
-    if (!(R.Step_ == Id))
+    if (!(R.Step_ == W.Id_))
       Reserved.insert(R.Worker_);
-  bool Large = false;
-  for (const auto &[Name, W] : S.Workers_)
-    Large |= W.Info_.Capacity_.Accelerators_ > 0 &&
-             Spec.Size_.Accelerators_ * 2 > W.Info_.Capacity_.Accelerators_;
-  return Large &&
-         (Reserved.size() + 1) * WorkersPerReserved <= S.Workers_.size();
+  if ((Reserved.size() + 1) * WorkersPerReserved > S.Workers_.size())
+    return false;
+  return std::any_of(
+      S.Workers_.begin(), S.Workers_.end(), [&](const auto &Row) {
+        std::int64_t Has = Row.second.Info_.Capacity_.Accelerators_;
+        return Has > 0 && Needed * 2 > Has;
+      });
+}
+
+/// Whether nothing can be done for the step before the policy has answered.
+bool awaitsAdvice(const WaitingStep &W, TimePoint Now) {
+  if (!W.Step_->AdviceInFlight_ || !W.Job_->Queue_.Advice_ ||
+      W.Spec_->LongRunning_ || W.Spec_->Size_.Accelerators_ > 0)
+    return false;
+  const auto &Permits = W.Step_->Permits_;
+  return std::none_of(Permits.begin(), Permits.end(), [&](const auto &Row) {
+    return Row.second.Until_ > Now + PermitMargin;
+  });
 }
 
-void placeStep(State &S, const StepId &Id, TimePoint Now, Outbox &Out) {
-  const workflow::StepSpec &Spec = *findSpec(S, Id);
-  Step &P = *findStep(S, Id);
-  std::vector<std::uint32_t> Tasks = startable(P, Now);
-  if (Tasks.empty() || (Spec.Gang_ && Tasks.size() < P.Tasks_.size()))
+void placeStep(Pass &X, const WaitingStep &W) {
+  if (awaitsAdvice(W, X.Now_))
     return;
-  std::vector<Candidate> All = candidates(S, Id, Now);
+  const workflow::StepSpec &Spec = *W.Spec_;
+  std::vector<std::uint32_t> Tasks = startable(*W.Step_, X.Now_);
+  if (Tasks.empty() || (Spec.Gang_ && Tasks.size() < W.Step_->Tasks_.size()))
+    return;
+  std::vector<Candidate> All = candidates(X, W);
   if (All.empty()) {
-    askAgainIfAllDenied(S, Id, Now);
-    if (Spec.LongRunning_ || mayReserve(S, Id, Now))
-      reserveLargest(S, Id, Now);
+    askAgainIfAllDenied(X, W);
+    if (Spec.LongRunning_ || mayReserve(X.State_, W, X.Now_))
+      reserveLargest(X, W);
     return;
   }
   std::vector<Candidate> Left = All;
-  std::vector<Placed> Where = place(Spec, P, Tasks, Left);
+  std::vector<Placed> Where = place(Spec, *W.Step_, Tasks, Left);
   bool Complete = Where.size() == Tasks.size();
   if (!Where.empty() && (Complete || !Spec.Gang_)) {
-    startTasks(S, Id, Where, Now, Out);
-    dropReservations(S, Id);
+    startTasks(X, W, Where);
+    dropReservations(X.State_, W.Id_);
   }
   if (!Complete)
     askForAdvice(
-        S, Id, Spec.Gang_ ? All : Left,
-        std::uint32_t(Spec.Gang_ ? Tasks.size() : Tasks.size() - Where.size()),
-        Now, Out);
+        X, W, Spec.Gang_ ? All : Left,
+        std::uint32_t(Spec.Gang_ ? Tasks.size() : Tasks.size() - Where.size()));
+}
+
+/// Grows with the work of a pass, so that passes take a bounded share of time.
+Milliseconds placementInterval(const State &S) {
+  auto ForSteps = std::chrono::duration_cast<Milliseconds>(
+      IntervalPerStep * std::int64_t(S.Waiting_.size()));
+  return std::clamp(ForSteps, PlacementInterval, LongestInterval);
 }
 
 } // namespace
@@ -320,11 +396,12 @@
   if (!S.PlaceWanted_ && !Revisit)
     return;
   S.PlaceWanted_ = false;
-  S.PlaceNotBefore_ = Now + PlacementInterval;
+  S.PlaceNotBefore_ = Now + placementInterval(S);
   std::erase_if(S.Reservations_,
                 [&](const Reservation &R) { return Now > R.Until_; });
+  Pass X = beginPass(S, Now, Out);
   for (const WaitingStep &W : orderWaiting(S, Now))
-    placeStep(S, W.Id_, Now, Out);
+    placeStep(X, W);
 }
 
 } // namespace detail
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -109,20 +109,24 @@
                                       std::uint32_t Tasks) {
   /// The policy allows a part of the workers only; more than needed are named.
   constexpr std::uint32_t NamedPerNeeded = 3;
-  std::vector<const Candidate *> Order;
+  struct Choice {
+    const Candidate *Candidate_;
+    double Cost_;
+  };
+  std::vector<Choice> Order;
   for (const Candidate &C : All)
     if (!C.Permitted_ && capacityFor(Spec, C) > 0)
-      Order.push_back(&C);
+      Order.push_back({&C, costOf(Spec, C, {})});
   std::stable_sort(Order.begin(), Order.end(),
-                   [&](const Candidate *A, const Candidate *B) {
-                     if (A->Allowed_ != B->Allowed_)
-                       return A->Allowed_;
-                     return costOf(Spec, *A, {}) < costOf(Spec, *B, {});
+                   [](const Choice &A, const Choice &B) {
+                     if (A.Candidate_->Allowed_ != B.Candidate_->Allowed_)
+                       return A.Candidate_->Allowed_;
+                     return A.Cost_ < B.Cost_;
                    });
   std::size_t Cheap = cheaplyNamed(Policy);
   std::vector<WorkerId> Out;
   std::uint64_t Certain = 0, Hoped = 0;
-  for (const Candidate *C : Order) {
+  for (const auto &[C, Cost] : Order) {
     bool Enough =
         Certain >= Tasks || Hoped >= std::uint64_t(Tasks) * NamedPerNeeded;
     if (Out.size() >= MaxNamed || (Enough && Out.size() >= Cheap) ||
