Turns without a policy call to make cost little

Cause: each turn of the loop, after each answer, sorted and moved all policy calls that wait, looked for a free entry for each of them, and compared all entries with all peers. Change: a turn first asks whether an entry may take a call of either length; the calls are ordered by their places and only then moved.

--- a/apps/pollenvale/fleet/policy_calls.cpp
+++ b/apps/pollenvale/fleet/policy_calls.cpp
@@ -4,6 +4,13 @@
 
 namespace pollenvale::fleet {
 
+namespace {
+
+/// Entries come and go far less often than the loop turns.
+constexpr Milliseconds PeersInterval{100};
+
+} // namespace
+
 void PolicyCalls::open(const std::string &Self) {
   Pool_ = advice::makePool(Self);
   Peers_.subscribe(FrameKind::Advice,
@@ -15,7 +22,10 @@
 }
 
 void PolicyCalls::turn(const ownership::State &Claims) {
-  advice::setPeers(Pool_, ownership::peerAddresses(Claims));
+  if (now() >= PeersDueAt_) {
+    PeersDueAt_ = now() + PeersInterval;
+    advice::setPeers(Pool_, ownership::peerAddresses(Claims));
+  }
   for (const advice::Expired &X : advice::expire(Pool_, now())) {
     if (!X.Helper_.empty() && X.Helper_ != Pool_.Self_)
       Peers_.suspect(X.Helper_);
--- a/apps/pollenvale/fleet/policy_calls.hpp
+++ b/apps/pollenvale/fleet/policy_calls.hpp
@@ -38,6 +38,7 @@
   Counters &Counters_;
   OnAdvice Deliver_;
   advice::Pool Pool_;
+  TimePoint PeersDueAt_{};
 };
 
 } // namespace pollenvale::fleet
--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -73,26 +73,61 @@
   P.Queue_.push_back({std::move(Call), Now});
 }
 
+namespace {
+
+/// The same order as that of waiting steps.
+auto keyOf(const Pending &X, TimePoint Now) {
+  const AdviceCall &C = X.Call_;
+  return std::tuple(Now > C.WorthlessAt_, Now > C.DueAt_, C.Priority_,
+                    C.DueAt_);
+}
+
+/// Places in the queue, the most urgent call first.
+std::vector<std::size_t> orderQueue(const Pool &P, TimePoint Now) {
+  using Key = decltype(keyOf(P.Queue_.front(), Now));
+  std::vector<std::pair<Key, std::size_t>> Keys;
+  for (std::size_t I = 0; I < P.Queue_.size(); ++I)
+    Keys.emplace_back(keyOf(P.Queue_[I], Now), I);
+  std::sort(Keys.begin(), Keys.end());
+  std::vector<std::size_t> Out;
+  for (const auto &[Key, I] : Keys)
+    Out.push_back(I);
+  return Out;
+}
+
+/// Whether an entry may take one of the waiting calls. Most turns of a busy
+/// owner end here.
+bool mayDispatch(Pool &P, TimePoint Now) {
+  std::string Ignored;
+  const AdviceCall *Tried = nullptr;
+  // A call is long or not; that alone decides who may take it.
+  for (const Pending &X : P.Queue_) {
+    bool Long = X.Call_.Expected_ > LongCall;
+    if (Tried && Long == (Tried->Expected_ > LongCall))
+      continue;
+    if (choose(P, X.Call_, Now, Ignored))
+      return true;
+    if (Tried)
+      return false;
+    Tried = &X.Call_;
+  }
+  return false;
+}
+
+} // namespace
+
 std::vector<Dispatch> dispatch(Pool &P, TimePoint Now) {
   std::vector<Dispatch> Out;
-  // The same order as that of waiting steps.
-  auto Key = [Now](const Pending &X) {
-    const AdviceCall &C = X.Call_;
-    return std::tuple(Now > C.WorthlessAt_, Now > C.DueAt_, C.Priority_,
-                      C.DueAt_);
-  };
-  std::stable_sort(
-      P.Queue_.begin(), P.Queue_.end(),
-      [&](const Pending &A, const Pending &B) { return Key(A) < Key(B); });
-  for (auto It = P.Queue_.begin(); It != P.Queue_.end();) {
+  if (!mayDispatch(P, Now))
+    return Out;
+  std::vector<bool> Taken(P.Queue_.size());
+  for (std::size_t I : orderQueue(P, Now)) {
     std::string Name;
-    Helper *H = choose(P, It->Call_, Now, Name);
-    if (!H) {
-      ++It;
+    Helper *H = choose(P, P.Queue_[I].Call_, Now, Name);
+    if (!H)
       continue;
-    }
-    Pending X = std::move(*It);
-    It = P.Queue_.erase(It);
+    Taken[I] = true;
+    Pending X = std::move(P.Queue_[I]);
     H->Backlog_ += X.Call_.Expected_;
     ++H->InFlight_;
     X.Helper_ = Name;
@@ -101,6 +136,8 @@
     Out.push_back({Id, Name, X.Call_});
     P.InFlight_[Id] = std::move(X);
   }
+  std::size_t I = 0;
+  std::erase_if(P.Queue_, [&](const Pending &) { return Taken[I++]; });
   return Out;
 }
 
