--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -69,7 +69,9 @@
 struct NewestCall {
   Partition From_;
   std::string AfterKey_; ///< Only keys after this one; empty for all.
-  Milliseconds Timeout_{1'000};
+  /// A page may hold 1 MB: 0.8 s on a link of 10 Mbit/s, of which an entry that
+  /// starts loads several at a time.
+  Milliseconds Timeout_{4'000};
 };
 
 struct ReadReply {
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -161,3 +161,13 @@
   cr_assert_lt(Call.MaxBytes_ / BytesPerMs * 2,
                std::size_t(Call.Timeout_.count()));
 }
+
+// Guards against RECOVER: a page of newest records is longer than an entry's
+// link carries within the limit, and the entry never finishes loading.
+Test(tail, pages_of_newest_records_have_time_on_a_small_link) {
+  constexpr std::int64_t PageBytes = 1'000'000;
+  constexpr std::int64_t BytesPerMs = 10'000 / 8; // 10 Mbit/s
+  constexpr int PagesAtOnce = 4; // configuration, claims and two partitions
+  cr_assert_gt(NewestCall().Timeout_.count(),
+               PageBytes * PagesAtOnce / BytesPerMs);
+}
