An overloaded small owner hands its slices over to a large entry

Its heartbeat now tells an entry's processor; an owner with less than 0.25 cores whose turns have been late for 2 s gives its slices up while an entry with more lives and owns nothing. The next owner waits for the workers' answers only, as after a planned stop.

Tests: unit_ownership claims::an_overloaded_small_owner_hands_over_to_a_large_entry, a_small_owner_that_keeps_up_stays. entry.cpp loses its section lines.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -113,8 +113,6 @@
     });
   }
 
-  // --- following the store -------------------------------------------------
-
   std::shared_ptr<Follower> follow(ledger::Tail &Tail,
                                    ledger::TailOptions Options,
                                    FollowerEvents Events) {
@@ -190,8 +188,6 @@
     Slices_.onRecord(Number, Change);
   }
 
-  // --- owning slices -------------------------------------------------------
-
   std::set<ownership::SliceName> wantedSlices() const {
     std::set<ownership::SliceName> Out;
     for (const workflow::Service &S : Catalog_.Services_)
@@ -210,6 +206,10 @@
   }
 
   void writeClaim(ownership::Write W) {
+    if (W.Kind_ == ownership::Write::Kind::GiveUp)
+      observe::log(Level::Info, "slice-given-up",
+                   {{"slice", W.Slice_},
+                    {"reason", Stopping_ ? "stopping" : "overloaded"}});
     ledger::AppendCall Call;
     Call.To_ = {ClaimTopic, 0};
     Call.Records_ = {W.Record_};
@@ -256,8 +256,6 @@
     return Context;
   }
 
-  // --- callers --------------------------------------------------------------
-
   void onReadiness(const http::ServerRequest &R,
                    const http::Responder &Respond) {
     if (R.Path_ == "/metrics") {
@@ -290,8 +288,6 @@
     return true;
   }
 
-  // --- event loop ------------------------------------------------------------
-
   void wake() {
     if (TurnPosted_)
       return;
@@ -342,8 +338,6 @@
     });
   }
 
-  // --- signals ---------------------------------------------------------------
-
   void waitForSignal() {
     Signals_.async_wait([this](std::error_code Err, int Signal) {
       if (Err)
--- a/apps/pollenvale/fleet/owned_slices.cpp
+++ b/apps/pollenvale/fleet/owned_slices.cpp
@@ -1,7 +1,10 @@
 #include "fleet/owned_slices.hpp"
 
+#include "fleet/clock.hpp"
 #include "observe/observe.hpp"
 
+#include <algorithm>
+
 namespace pollenvale::fleet {
 
 using observe::Level;
@@ -24,6 +27,10 @@
   for (const auto &[Slice, Own] : Claims.Owned_)
     if (!Owners_.count(Slice))
       begin(Slice, Own, Claims.Options_.SelfFence_);
+  if (!isLate())
+    Claims.OverloadedSince_.reset();
+  else if (!Claims.OverloadedSince_)
+    Claims.OverloadedSince_ = now();
 }
 
 void OwnedSlices::begin(const ownership::SliceName &Slice,
@@ -81,6 +88,11 @@
   return false;
 }
 
+bool OwnedSlices::isLate() const {
+  return std::any_of(Owners_.begin(), Owners_.end(),
+                     [](const auto &E) { return E.second.Owner_->isLate(); });
+}
+
 void OwnedSlices::addCounters(Counters &All) const {
   for (const auto &[Slice, E] : Owners_)
     for (const auto &[Name, Value] : E.Owner_->counters())
--- a/apps/pollenvale/fleet/owned_slices.hpp
+++ b/apps/pollenvale/fleet/owned_slices.hpp
@@ -27,6 +27,8 @@
                 const scheduler::AdviceReply &Reply);
 
   bool ownsPartition(std::uint32_t Partition) const;
+  /// Some owner's turns were late a moment ago.
+  bool isLate() const;
   bool empty() const { return Owners_.empty(); }
   std::size_t size() const { return Owners_.size(); }
   void addCounters(Counters &All) const;
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -123,6 +123,10 @@
     lose("a worker has seen a higher token");
 }
 
+bool SliceOwner::isLate() const {
+  return Stage_ == Stage::Running && now() < State_.LateUntil_;
+}
+
 TimePoint SliceOwner::nextDue() const {
   if (Stage_ == Stage::Running)
     return scheduler::nextDue(State_, now());
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -45,6 +45,8 @@
   /// The claim has been superseded.
   bool isOver() const { return Stage_ == Stage::Over; }
   TimePoint nextDue() const;
+  /// Its turns were late a moment ago.
+  bool isLate() const;
   const Counters &counters() const { return State_.Counters_; }
 
 private:
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -30,6 +30,9 @@
   std::int64_t AmpleCpu_ = 250;
   /// How much longer an entry with hardly any processor waits.
   Milliseconds ScarcityDelay_{1'200};
+  /// An owner with less than AmpleCpu_ that has been overloaded for this long
+  /// gives its slices up while an entry with more is free to take them.
+  Milliseconds OverloadLimit_{2'000};
 };
 
 struct SliceView {
@@ -51,6 +54,7 @@
   std::string Address_;
   NodeId Node_;
   Offset StartOffset_ = 0;
+  std::int64_t Cpu_ = 0;
   TimePoint SeenAt_{};
 };
 
@@ -85,6 +89,8 @@
   TimePoint BeatSentAt_{};
   bool BeatInFlight_ = false;
   bool Stopping_ = false;
+  /// Since when this entry does not keep up with its slices; set by the driver.
+  std::optional<TimePoint> OverloadedSince_;
   std::uint64_t Unreadable_ = 0; ///< Records that could not be read.
 };
 
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -31,7 +31,8 @@
   /// End of the claims partition that the process read first; 0 before that.
   /// Larger for each later process of a VM.
   Offset StartOffset_ = 0;
-  MSGPACK_DEFINE(Node_, Address_, StartOffset_)
+  std::int64_t Cpu_ = 0; ///< Thousandths of a core; 0 when unknown.
+  MSGPACK_DEFINE(Node_, Address_, StartOffset_, Cpu_)
 };
 
 enum class RecordKind { Claim, Node, Unknown };
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -114,6 +114,31 @@
   S.Owned_.clear();
 }
 
+bool holdsSlice(const State &S, const NodeId &Node) {
+  return std::any_of(S.Slices_.begin(), S.Slices_.end(), [&](const auto &V) {
+    return V.second.Holder_ == Node && !V.second.GivenUp_;
+  });
+}
+
+/// An entry with ample processor that lives and owns nothing.
+bool hasAmplePeer(const State &S, TimePoint Now) {
+  const Options &O = S.Options_;
+  return std::any_of(S.Nodes_.begin(), S.Nodes_.end(), [&](const auto &N) {
+    const NodeView &Node = N.second;
+    return Node.Cpu_ >= O.AmpleCpu_ && Node.Node_ != O.Self_ &&
+           elapsed(Node.SeenAt_, Now) <= O.IdleBeat_ * 3 / 2 &&
+           !holdsSlice(S, Node.Node_);
+  });
+}
+
+bool shouldHandOver(const State &S, TimePoint Now) {
+  const Options &O = S.Options_;
+  bool Small = O.Cpu_ > 0 && O.Cpu_ < O.AmpleCpu_;
+  return Small && !S.Owned_.empty() && S.OverloadedSince_ &&
+         elapsed(*S.OverloadedSince_, Now) >= O.OverloadLimit_ &&
+         elapsed(S.ContactAt_, Now) < ContactGap && hasAmplePeer(S, Now);
+}
+
 } // namespace
 
 std::string_view toString(Predecessor P) {
@@ -131,8 +156,8 @@
   } else if (kindOf(R.Key_) == RecordKind::Node) {
     auto Node = parseNode(R.Value_);
     if (Node)
-      S.Nodes_[Name] =
-          NodeView{Node->Address_, Node->Node_, Node->StartOffset_, Now};
+      S.Nodes_[Name] = NodeView{Node->Address_, Node->Node_, Node->StartOffset_,
+                                Node->Cpu_, Now};
     S.Unreadable_ += !Node;
   }
 }
@@ -183,6 +208,11 @@
     giveUpSlices(S, Out);
     return Out;
   }
+  if (shouldHandOver(S, Now)) {
+    giveUpSlices(S, Out);
+    S.OverloadedSince_.reset();
+    return Out;
+  }
   if (End && S.StartOffset_ == 0)
     S.StartOffset_ = *End + 1;
   if (End && elapsed(S.ContactAt_, Now) < ContactGap)
@@ -192,7 +222,7 @@
   bool Due = S.StartOffset_ != 0 &&
              (S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval);
   if (Due && !S.BeatInFlight_) {
-    NodeRecord R{O.Self_, O.Address_, S.StartOffset_};
+    NodeRecord R{O.Self_, O.Address_, S.StartOffset_, O.Cpu_};
     Out.push_back({Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), {}});
     S.BeatInFlight_ = true;
     S.BeatSentAt_ = Now;
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -353,3 +353,38 @@
   cr_assert_eq(Tries, 3u);
   cr_assert_eq(S.Owned_.count("s"), 1u);
 }
+
+namespace {
+
+/// Entry 0, a small one, has claimed the slice before entry 1 became large.
+void beginWithSmallOwner(Cell &C) {
+  C.Entries_[0].Options_.Cpu_ = 120;
+  C.Entries_[1].Options_.Cpu_ = 1;
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u);
+}
+
+} // namespace
+
+// Guards against SHORT: a small entry took a slice while the large ones were
+// away, can't keep up with it, and keeps it after they are back.
+Test(claims, an_overloaded_small_owner_hands_over_to_a_large_entry) {
+  Cell C(2);
+  beginWithSmallOwner(C);
+  C.Entries_[0].OverloadedSince_ = C.Now_;
+  C.run(Milliseconds(8'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u, "nobody could do better");
+  C.Entries_[1].Options_.Cpu_ = 500;
+  C.run(Milliseconds(8'000));
+  cr_assert(C.Entries_[0].Owned_.empty());
+  cr_assert_eq(C.Entries_[1].Owned_.size(), 1u);
+  cr_assert(C.Entries_[1].Owned_.at("s").Before_ == Predecessor::None);
+}
+
+Test(claims, a_small_owner_that_keeps_up_stays) {
+  Cell C(2);
+  beginWithSmallOwner(C);
+  C.Entries_[1].Options_.Cpu_ = 500;
+  C.run(Milliseconds(12'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u);
+}
