A request that has not been sent by its limit is not sent any more

Found by review: a late loop let a connection that had just opened carry its request after the call's end, and gave the call up right after, with the answer unread.

--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -261,8 +261,12 @@
 
   /// Gives the call up unless what has arrived takes it further.
   void expire(CURL *Easy) {
-    catchUp(Easy);
     auto It = Transfers_.find(Easy);
+    // A request that has not been sent by its end is not sent any more.
+    if (It != Transfers_.end() &&
+        (detail::isSent(*It->second) || Clock::now() < It->second->EndAt_))
+      catchUp(Easy);
+    It = Transfers_.find(Easy);
     if (It == Transfers_.end())
       return;
     std::unique_ptr<Transfer> &T = It->second;
