--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -100,8 +100,9 @@
 
 struct Worker {
   WorkerInfo Info_;
-  bool Listed_ = true;    ///< The registry names it.
-  bool Rostered_ = false; ///< A stored roster names it.
+  bool Listed_ = true;     ///< The registry names it.
+  TimePoint UnlistedAt_{}; ///< When the registry dropped it.
+  bool Rostered_ = false;  ///< A stored roster names it.
   /// Draining and empty: it gets no lease and is left out of the roster, so
   /// that no later owner waits for it.
   bool Released_ = false;
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -66,8 +66,8 @@
 /// Limit of the next renewal of a worker that left one unanswered.
 Milliseconds retryTimeout(const State &S, const Worker &W, TimePoint Now);
 /// Whether at least half of the workers answer. If not, the owner itself may be
-/// cut off.
-bool mostAnswer(const State &S);
+/// cut off, and calls that were not answered by now show nothing.
+bool mostAnswer(State &S, TimePoint Now);
 /// Whether the worker, whose leases are over, has been asked since and stays
 /// without an answer by no fault of the owner. As long as it isn't, its next
 /// list may still tell how its tasks ended. A worker that the registry names
--- a/packages/scheduler/src/liveness.cpp
+++ b/packages/scheduler/src/liveness.cpp
@@ -9,19 +9,25 @@
 
 namespace {
 
-/// An owner whose turns are further apart may have left answers unread.
-constexpr Milliseconds LongestPause{150};
+/// Half of the limit of the calls that count: an owner whose turns are further
+/// apart may have sent one too late.
+constexpr Milliseconds LongestPause{500};
 /// An owner whose turns are further apart reads answers late.
 constexpr Milliseconds LateTurn{60};
 constexpr Milliseconds LateTime{1'000};
 /// How long a worker that the registry names must leave calls unanswered, after
 /// its leases are over, until its tasks start elsewhere.
-constexpr Milliseconds SilenceLimit{1'000};
+constexpr Milliseconds SilenceLimit{3'000};
+/// How long a worker must be missing from the registry until it counts as gone
+/// whatever its calls show: entries come back by then if it lives.
+constexpr Milliseconds GoneAfter{2'000};
 /// A single answer may get lost.
 constexpr unsigned SilentCallsNeeded = 2;
 /// Limit of a renewal once one got no answer: a slow answer is worth more than
 /// an early repetition.
 constexpr Milliseconds SilentTimeout{1'000};
+/// Limit of the renewals after that.
+constexpr Milliseconds LastTimeout{2'000};
 constexpr Milliseconds SpanningTimeout{350};
 
 /// When the last lease on the worker is over, whoever gave it.
@@ -73,20 +79,29 @@
   Milliseconds Left = elapsed(Now, leasesEnd(S, W));
   // A call that spans the end of the leases shows nothing.
   bool SpansEnd = Left.count() > 0 && Left < SilentTimeout;
-  return SpansEnd ? SpanningTimeout : SilentTimeout;
+  if (SpansEnd)
+    return SpanningTimeout;
+  return W.SilentCalls_ > 0 ? LastTimeout : SilentTimeout;
 }
 
-bool mostAnswer(const State &S) {
+bool mostAnswer(State &S, TimePoint Now) {
   std::size_t Listed = 0, Answering = 0;
   for (const auto &[Id, W] : S.Workers_) {
     Listed += W.Listed_;
     Answering += W.Listed_ && W.Known_ && W.Misses_ == 0;
   }
-  return Answering * 2 >= Listed;
+  bool Most = Answering * 2 >= Listed;
+  // What was missed meanwhile shows nothing about a single worker either.
+  if (!Most)
+    S.PausedAt_ = Now;
+  return Most;
 }
 
 bool isSilent(const State &S, const Worker &W, bool OthersAnswer,
               TimePoint Now) {
+  bool Gone = !W.Listed_ && Now - W.UnlistedAt_ >= GoneAfter;
+  if (Gone && W.Misses_ > 0)
+    return true;
   if (W.SilentCalls_ == 0 || !wasAttentive(S, W.SilentSince_, Now))
     return false;
   return !W.Listed_ || (OthersAnswer && W.SilentCalls_ >= SilentCallsNeeded &&
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -113,7 +113,7 @@
 } // namespace
 
 void checkLeases(State &S, TimePoint Now, Outbox &Out) {
-  bool OthersAnswer = mostAnswer(S);
+  bool OthersAnswer = mostAnswer(S, Now);
   for (auto It = S.Workers_.begin(); It != S.Workers_.end();) {
     Worker &W = It->second;
     releaseEmpty(S, W);
@@ -133,7 +133,7 @@
 void checkInheritance(State &S, TimePoint Now, Outbox &Out) {
   if (!S.InheritanceOpen_)
     return;
-  bool OthersAnswer = mostAnswer(S);
+  bool OthersAnswer = mostAnswer(S, Now);
   if (Now >= S.Options_.InheritedLeasesEndAt_)
     std::erase_if(S.Unaccounted_, [&](const WorkerId &Id) {
       auto It = S.Workers_.find(Id);
@@ -180,12 +180,14 @@
   return J && T && !T->Done_ && !workflow::isClosed(J->State_);
 }
 
-void refreshRun(const workflow::StepSpec &Spec, Task &T, const RunningTask &R,
-                TimePoint Now) {
+void refreshRun(State &S, const workflow::StepSpec &Spec, Task &T,
+                const RunningTask &R, TimePoint Now) {
   Run &X = *T.Run_;
   if (X.Phase_ == RunPhase::Starting && !X.InFlight_) {
     X.Phase_ = RunPhase::Running;
     X.SettledAt_ = Now;
+    if (!X.StopWanted_)
+      S.Unsettled_.erase(R.Task_);
   }
   noteProgress(Spec, X, R.Percent_, Now);
   if (!R.Checkpoint_.empty())
@@ -204,7 +206,7 @@
       Mine = true;
     }
     if (Mine) {
-      refreshRun(*findSpec(S, R.Task_.Step_), *T, R, Now);
+      refreshRun(S, *findSpec(S, R.Task_.Step_), *T, R, Now);
       if (!R.Checkpoint_.empty())
         findStep(S, R.Task_.Step_)->GangCheckpoint_ = R.Checkpoint_;
       continue;
@@ -216,11 +218,16 @@
   }
 }
 
+/// A worker that has more ends lists the others next time.
+constexpr std::size_t MaxEndsListed = 500;
+
 /// Runs that a list asked for after they were settled lacks have ended. A list
-/// with rows that can't be read may lack any of them.
+/// with rows that can't be read may lack any of them, or their ends.
 void dropAbsent(State &S, Worker &W, const RenewReply &Reply, TimePoint SentAt,
                 TimePoint Now, Outbox &Out) {
-  if (Reply.UnreadableRuns_ > 0)
+  bool Complete = Reply.UnreadableRuns_ == 0 && Reply.UnreadableEnds_ == 0 &&
+                  Reply.Ended_.size() < MaxEndsListed;
+  if (!Complete)
     return;
   std::set<TaskId> Listed;
   for (const RunningTask &R : Reply.Running_)
@@ -285,11 +292,12 @@
   W.Listed_ = true;
 }
 
-void onWorkerGone(State &S, const WorkerId &Id, TimePoint) {
+void onWorkerGone(State &S, const WorkerId &Id, TimePoint Now) {
   auto It = S.Workers_.find(Id);
-  if (It == S.Workers_.end())
+  if (It == S.Workers_.end() || !It->second.Listed_)
     return;
   It->second.Listed_ = false;
+  It->second.UnlistedAt_ = Now;
 }
 
 void onRenewed(State &S, const RenewCall &Call, const RenewReply &Reply,
@@ -303,7 +311,8 @@
     S.Fenced_ = true;
     return;
   }
-  if (Reply.Status_ == CallStatus::Elsewhere) {
+  bool Moved = Call.To_.Address_ != W.Info_.Address_;
+  if (Reply.Status_ == CallStatus::Elsewhere && !Moved) {
     // Its address belongs to another worker: this one has ended.
     detail::account(S, Call.To_.Worker_);
     W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
