Entries with little processor leave free slices to those with more

Cause: any entry could claim a slice. The 252 workers of one service went to a VM of 0.12 cores and 10 Mbit/s (28 of 38 entries are like that), although ten entries have 0.5 cores and 200 Mbit/s.

Change: the settings' processor share is read; an entry with less than 0.25 cores waits up to 1.2 s more before it claims (0.62 s at 0.12 cores). The wait depends on the entry's own processor only, so small ones still take over when no large one lives, less than a second later than now. Fleets of VMs with 0.25 cores or more claim as before.

The new tests of unit-claims fail when the wait is taken out (tried).

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -47,6 +47,7 @@
     Claims_.Options_.Self_ = makeIncarnation(Boot_.NodeName_);
     Claims_.Options_.Address_ =
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
+    Claims_.Options_.Cpu_ = Boot_.Cpu_;
     Intake_.Store_ = &Store_;
     Intake_.Clock_ = now;
   }
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -24,6 +24,12 @@
   Milliseconds ClaimSpread_{300};
   /// An entry waits this much longer for each slice that it owns already.
   Milliseconds ClaimPenalty_{500};
+  /// Processor of this entry in thousandths of a core; 0 if unknown.
+  std::int64_t Cpu_ = 0;
+  /// An entry with less processor than this leaves slices to those with more.
+  std::int64_t AmpleCpu_ = 250;
+  /// How much longer an entry with hardly any processor waits.
+  Milliseconds ScarcityDelay_{1'200};
 };
 
 struct SliceView {
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -64,11 +64,20 @@
          silence(S, View) > S.Options_.SilenceLimit_;
 }
 
+/// What this entry waits for those with more processor. It depends on its own
+/// alone: with none of those alive the take-over is later by no more than this.
+Milliseconds scarcityDelay(const Options &O) {
+  if (O.Cpu_ <= 0 || O.Cpu_ >= O.AmpleCpu_)
+    return Milliseconds(0);
+  return O.ScarcityDelay_ * (O.AmpleCpu_ - O.Cpu_) / O.AmpleCpu_;
+}
+
 Milliseconds claimDelay(const State &S, const SliceName &Slice) {
   auto Spread = std::uint64_t(S.Options_.ClaimSpread_.count());
   auto Jitter = stableHash(Slice + S.Options_.Self_) % (Spread + 1);
   auto Load = std::int64_t(S.Owned_.size() + S.Claiming_.size());
-  return Milliseconds(std::int64_t(Jitter)) + S.Options_.ClaimPenalty_ * Load;
+  return Milliseconds(std::int64_t(Jitter)) + S.Options_.ClaimPenalty_ * Load +
+         scarcityDelay(S.Options_);
 }
 
 void claimFreeSlices(State &S, const std::set<SliceName> &Wanted, Offset End,
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -17,6 +17,7 @@
   TimePoint Now_{std::chrono::seconds(100)};
   bool StoreDown_ = false;
   std::set<std::size_t> Silent_; ///< Entries that do nothing.
+  std::set<SliceName> Wanted_{"s"};
 
   explicit Cell(std::size_t Count) {
     for (std::size_t I = 0; I < Count; ++I) {
@@ -52,7 +53,7 @@
         continue;
       if (!StoreDown_)
         onContact(Entries_[I], Now_, Now_);
-      for (const Write &W : tick(Entries_[I], {"s"}, Log_.size(), Now_))
+      for (const Write &W : tick(Entries_[I], Wanted_, Log_.size(), Now_))
         onWritten(Entries_[I], W, append(W), Now_, Now_);
     }
   }
@@ -264,3 +265,64 @@
       cr_assert(W.Kind_ != Write::Kind::Claim, "the owner is not silent yet");
   }
 }
+
+namespace {
+
+/// \p Large entries with 0.5 cores and \p Small ones with 0.12, in that order.
+Cell mixedCell(std::size_t Large, std::size_t Small) {
+  Cell C(Large + Small);
+  for (std::size_t I = 0; I < C.Entries_.size(); ++I)
+    C.Entries_[I].Options_.Cpu_ = I < Large ? 500 : 120;
+  return C;
+}
+
+std::size_t slicesOwned(const Cell &C, std::size_t From, std::size_t To) {
+  std::size_t Out = 0;
+  for (std::size_t I = From; I < To; ++I)
+    if (!C.Silent_.count(I))
+      Out += C.Entries_[I].Owned_.size();
+  return Out;
+}
+
+} // namespace
+
+Test(claims, slices_go_to_entries_with_processor_one_each) {
+  Cell C = mixedCell(10, 28);
+  C.Wanted_ = {"s", "s~1", "s~2", "s~3", "s~4", "s~5", "t", "t~1"};
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(slicesOwned(C, 0, 10), 8u);
+  for (const State &S : C.Entries_)
+    cr_assert_leq(S.Owned_.size(), 1u);
+}
+
+Test(claims, small_entries_take_over_soon_when_no_large_one_lives) {
+  // Silence of 1.9 s, the spread of claims, and less than a second more.
+  Cell C = mixedCell(2, 6);
+  C.run(Milliseconds(1'000));
+  cr_assert_eq(slicesOwned(C, 0, 2), 1u);
+  C.Silent_ = {0, 1};
+  C.run(Milliseconds(3'200));
+  cr_assert_eq(slicesOwned(C, 2, 8), 1u);
+}
+
+Test(claims, both_slices_of_a_killed_entry_are_taken_over) {
+  Cell C = mixedCell(1, 3);
+  C.Wanted_ = {"s", "s~1"};
+  for (State &S : C.Entries_)
+    S.Options_.ScarcityDelay_ = Milliseconds(60'000);
+  C.run(Milliseconds(2'500));
+  for (State &S : C.Entries_)
+    S.Options_.ScarcityDelay_ = Options().ScarcityDelay_;
+  cr_assert_eq(slicesOwned(C, 0, 1), 2u);
+  std::set<ClaimNumber> Former;
+  for (const auto &[Slice, Own] : C.Entries_[0].Owned_)
+    Former.insert(Own.Number_);
+  C.Silent_ = {0};
+  C.run(Milliseconds(3'200));
+  cr_assert_eq(slicesOwned(C, 1, 4), 2u);
+  for (std::size_t I = 1; I < 4; ++I)
+    for (const auto &[Slice, Own] : C.Entries_[I].Owned_) {
+      cr_assert_gt(Own.Number_, *Former.rbegin());
+      cr_assert(Own.Before_ == Predecessor::MayRun);
+    }
+}
