Other entries send an owner's starts when its own are not yet answered

Cause: one owner sends every start of a service, each with its job's payload of 2.4 kB on average, 154 a second. They fill its link; renewals and starts wait behind payloads, time out, and each time-out opens a new connection.

Change: at most 16 kB of payload of an owner's own starts are unanswered at a time. Further ones go, without payload, to entries that own nothing, which take it from their copy of the job (new package delegation). The owner's token, run number and deadline bind the start as before, so a start passed on late, or after a take-over, is refused by the worker. No worker or job changes hands.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -84,9 +84,7 @@
       if (It != Partitions_.end())
         It->second->deliver(std::move(Records));
     };
-    P.Suspect_ = [this](const std::string &Address) {
-      Peers_.suspect(Address);
-    };
+    P.Suspect_ = std::bind_front(&PeerChannel::suspect, &Peers_);
     return P;
   }
 
@@ -107,6 +105,7 @@
     const std::string &Self = Claims_.Options_.Address_;
     Peers_.open(Self);
     Policy_.open(Self);
+    Starts_.open(Self);
     Peers_.subscribe(FrameKind::Store, [this](const std::string &Bytes) {
       Store_.onMessage(relay::decode(Bytes));
     });
@@ -184,9 +183,8 @@
   void onJobRecord(std::uint32_t Number, const ledger::KeyedRecord &R) {
     intake::PartitionCopy &Copy = Intake_.Partitions_.at(Number);
     ledger::Change Change = ledger::apply(Copy.Replica_, R);
-    if (Change.Kind_ == ledger::Change::Kind::None)
-      return;
-    Slices_.onRecord(Number, Change);
+    if (Change.Kind_ != ledger::Change::Kind::None)
+      Slices_.onRecord(Number, Change);
   }
 
   // --- owning slices -------------------------------------------------------
@@ -247,6 +245,7 @@
     Context.Ask_ = [this](scheduler::AdviceCall Call) {
       Policy_.ask(std::move(Call));
     };
+    Context.Starts_ = &Starts_;
     Context.Wake_ = [this] { wake(); };
     Context.MaxLease_ = Boot_.MaxLease_;
     Context.KeepClosed_ = Boot_.ClosedJobsKept_ + ClosedJobsMargin;
@@ -300,19 +299,19 @@
 
   /// A part of the store that a new owner would need can't be read.
   bool isStoreAway(std::uint32_t Partition) const {
-    for (const ledger::Tail *T :
-         {&ConfigTail_, &ClaimTail_, &Intake_.Partitions_.at(Partition).Tail_})
-      if (ledger::isStale(*T, now()))
-        return true;
-    return false;
+    auto Stale = [](const ledger::Tail &T) {
+      return ledger::isStale(T, now());
+    };
+    return Stale(ConfigTail_) || Stale(ClaimTail_) ||
+           Stale(Intake_.Partitions_.at(Partition).Tail_);
   }
 
   void turn() {
-    bool MayOrder = ownership::mayOrder(Claims_, now());
-    Slices_.turn(MayOrder, [this](std::uint32_t Partition) {
-      return isStoreAway(Partition);
-    });
+    Slices_.turn(
+        ownership::mayOrder(Claims_, now()),
+        [this](std::uint32_t Partition) { return isStoreAway(Partition); });
     Policy_.turn(Claims_);
+    Starts_.turn(Claims_);
   }
 
   void scheduleTick() {
@@ -405,6 +404,7 @@
                         Slices_.onAdvice(Call, Reply);
                         wake();
                       }};
+  StartCalls Starts_{Peers_, Client_, Intake_.Partitions_, Counters_};
   CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
   WorkerRegistry Registry_{
       Store_,
--- a/apps/pollenvale/fleet/peer_channel.hpp
+++ b/apps/pollenvale/fleet/peer_channel.hpp
@@ -11,7 +11,12 @@
 namespace pollenvale::fleet {
 
 /// The part of the program that a frame is for.
-enum class FrameKind : char { Advice = 'a', Store = 's', Redial = 'd' };
+enum class FrameKind : char {
+  Advice = 'a',
+  Store = 's',
+  Start = 'o',
+  Redial = 'd'
+};
 
 class PeerChannel {
 public:
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -212,10 +212,11 @@
 }
 
 void SliceOwner::send(const scheduler::StartCall &C) {
-  Context_.Client_->start(C, whileRunning<scheduler::OrderReply>(
-                                 [C](auto &S, const auto &R, auto &Out) {
-                                   scheduler::onStart(S, C, R, now(), Out);
-                                 }));
+  Context_.Starts_->start(C, Partition_,
+                          whileRunning<scheduler::OrderReply>(
+                              [C](auto &S, const auto &R, auto &Out) {
+                                scheduler::onStart(S, C, R, now(), Out);
+                              }));
 }
 
 void SliceOwner::send(const scheduler::StopCall &C) {
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "advice/advice.hpp"
+#include "fleet/start_calls.hpp"
 #include "fleet/worker_registry.hpp"
 #include "intake/intake.hpp"
 #include "ownership/ownership.hpp"
@@ -19,6 +20,7 @@
   const WorkerRegistry *Registry_ = nullptr;
   intake::PartitionCopy *Partition_ = nullptr;
   std::function<void(scheduler::AdviceCall)> Ask_;
+  StartCalls *Starts_ = nullptr;
   std::function<void()> Wake_; ///< Asks for a turn of the event loop.
   Milliseconds MaxLease_{10'000};
   Milliseconds KeepClosed_{180'000};
--- /dev/null
+++ b/packages/delegation/src/pool.cpp
@@ -0,0 +1,70 @@
+#include "delegation/delegation.hpp"
+
+#include <algorithm>
+
+namespace pollenvale::delegation {
+
+void setPeers(Pool &P, const std::vector<std::string> &Addresses) {
+  for (const std::string &A : Addresses)
+    P.Peers_.try_emplace(A);
+  std::erase_if(P.Peers_, [&](const auto &Peer) {
+    return std::find(Addresses.begin(), Addresses.end(), Peer.first) ==
+           Addresses.end();
+  });
+}
+
+std::string choosePeer(const Pool &P, const StartCall &Call, TimePoint Now) {
+  if (P.DirectBytes_ + Call.Payload_.size() <= P.Options_.MaxDirectBytes_)
+    return {};
+  std::string Best;
+  std::uint64_t BestRank = 0;
+  for (const auto &[Address, AvoidUntil] : P.Peers_) {
+    std::uint64_t Rank = stableHash(Call.To_.Worker_ + " " + Address);
+    if (Now < AvoidUntil || (!Best.empty() && Rank <= BestRank))
+      continue;
+    Best = Address;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
+void beginDirect(Pool &P, const StartCall &Call) {
+  P.DirectBytes_ += Call.Payload_.size();
+}
+
+void endDirect(Pool &P, const StartCall &Call) {
+  P.DirectBytes_ -= Call.Payload_.size();
+}
+
+CallId add(Pool &P, StartCall Call, const std::string &Peer, TimePoint Now) {
+  const Options &O = P.Options_;
+  TimePoint GiveUpAt = Now + Call.To_.Timeout_ + O.CopyWait_ + O.AnswerMargin_;
+  CallId Id = P.NextId_++;
+  P.InFlight_[Id] = {std::move(Call), Peer, GiveUpAt};
+  return Id;
+}
+
+std::optional<Pending> finish(Pool &P, CallId Id) {
+  auto Node = P.InFlight_.extract(Id);
+  if (!Node)
+    return std::nullopt;
+  return std::move(Node.mapped());
+}
+
+std::map<CallId, Pending> expire(Pool &P, TimePoint Now) {
+  std::map<CallId, Pending> Out;
+  for (auto It = P.InFlight_.begin(); It != P.InFlight_.end();) {
+    if (Now < It->second.GiveUpAt_) {
+      ++It;
+      continue;
+    }
+    auto Peer = P.Peers_.find(It->second.Peer_);
+    if (Peer != P.Peers_.end())
+      Peer->second = Now + P.Options_.AvoidTime_;
+    Out.emplace(It->first, std::move(It->second));
+    It = P.InFlight_.erase(It);
+  }
+  return Out;
+}
+
+} // namespace pollenvale::delegation
--- /dev/null
+++ b/packages/delegation/tests/unit-delegation.cpp
@@ -0,0 +1,132 @@
+/// Starts that other entries send for the owner of a slice.
+#include "delegation/delegation.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::delegation;
+using scheduler::CallStatus;
+
+namespace {
+
+constexpr TimePoint T0{std::chrono::seconds(10)};
+constexpr std::size_t PayloadBytes = 2'400;
+
+StartCall start(int Worker, std::size_t Bytes = PayloadBytes) {
+  StartCall C;
+  C.To_ = {"w" + std::to_string(Worker), "10.0.0.1:80", /*Token_=*/7};
+  C.Task_ = *workflow::parseTaskId("5c0e7a21d94b36f8.0.1.17");
+  C.Run_ = 2;
+  C.Payload_ = std::string(Bytes, 'x');
+  C.Checkpoint_ = "saved";
+  C.Permit_ = "permit";
+  C.Deadline_ = Milliseconds(486'000);
+  return C;
+}
+
+Pool poolOf(int Peers) {
+  Pool P;
+  std::vector<std::string> Names;
+  for (int I = 0; I < Peers; ++I)
+    Names.push_back("entry-" + std::to_string(I));
+  setPeers(P, Names);
+  return P;
+}
+
+} // namespace
+
+// An owner of 98 workers on a link of 2 Mbit/s sent each task's payload itself:
+// starts and renewals waited behind payloads until they were given up.
+Test(delegation, one_owner_does_not_send_a_fleets_payloads_over_its_own_link) {
+  Pool P = poolOf(15);
+  std::map<std::string, int> Sent;
+  constexpr int Starts = 150; // A second's worth.
+  for (int I = 0; I < Starts; ++I) {
+    StartCall C = start(I % 98);
+    std::string Peer = choosePeer(P, C, T0);
+    ++Sent[Peer];
+    if (Peer.empty())
+      beginDirect(P, C);
+    else
+      add(P, C, Peer, T0);
+  }
+  cr_assert_leq(P.DirectBytes_, P.Options_.MaxDirectBytes_);
+  cr_assert_eq(Sent.size(), 16u, "every entry takes part");
+  for (const auto &[Peer, Count] : Sent)
+    cr_assert_leq(Count, Starts / 5, "%s got %d", Peer.c_str(), Count);
+}
+
+Test(delegation, an_owner_with_few_starts_sends_them_itself) {
+  Pool P = poolOf(5);
+  for (int I = 0; I < 100; ++I) {
+    StartCall C = start(I);
+    cr_assert_eq(choosePeer(P, C, T0), "");
+    beginDirect(P, C);
+    endDirect(P, C);
+  }
+  cr_assert_eq(P.DirectBytes_, 0u);
+  Pool Alone = poolOf(0);
+  StartCall Large = start(0, 100'000);
+  cr_assert_eq(choosePeer(Alone, Large, T0), "");
+}
+
+Test(delegation, the_starts_on_one_worker_go_to_the_same_peer) {
+  Pool P = poolOf(15);
+  beginDirect(P, start(0, P.Options_.MaxDirectBytes_));
+  std::string Peer = choosePeer(P, start(3), T0);
+  cr_assert_eq(choosePeer(P, start(3), T0 + Milliseconds(5'000)), Peer);
+}
+
+Test(delegation, a_peer_without_an_answer_is_left_alone) {
+  Pool P = poolOf(2);
+  beginDirect(P, start(0, P.Options_.MaxDirectBytes_));
+  std::string Peer = choosePeer(P, start(3), T0);
+  CallId Id = add(P, start(3), Peer, T0);
+  TimePoint GiveUpAt = P.InFlight_.at(Id).GiveUpAt_;
+  cr_assert(expire(P, GiveUpAt - Milliseconds(1)).empty());
+  cr_assert_eq(expire(P, GiveUpAt).at(Id).Call_.To_.Worker_, "w3");
+  cr_assert_neq(choosePeer(P, start(3), GiveUpAt), Peer);
+  // Its answer came after all: the start counts as unanswered.
+  cr_assert_not(finish(P, Id));
+}
+
+Test(delegation, a_peer_sends_the_start_that_the_owner_made) {
+  StartCall Made = start(3);
+  RequestMessage M{"owner:1", 4, {makeRow(9, Made)}};
+  Message Read = decode(encode(M));
+  const auto &Row = std::get<RequestMessage>(Read).Rows_.at(0);
+  auto Call = startCall(Row, Made.Payload_);
+  cr_assert(Call.has_value());
+  cr_assert_eq(Row.Id_, 9u);
+  cr_assert(Call->Task_ == Made.Task_);
+  cr_assert_eq(Call->Run_, Made.Run_);
+  cr_assert_eq(Call->To_.Worker_, Made.To_.Worker_);
+  cr_assert_eq(Call->To_.Address_, Made.To_.Address_);
+  cr_assert_eq(Call->To_.Token_, Made.To_.Token_);
+  cr_assert(Call->To_.Timeout_ == Made.To_.Timeout_);
+  cr_assert_eq(Call->Payload_, Made.Payload_);
+  cr_assert_eq(Call->Checkpoint_, Made.Checkpoint_);
+  cr_assert_eq(Call->Permit_, Made.Permit_);
+  cr_assert(Call->Deadline_ == Made.Deadline_);
+  cr_assert_lt(encode(M).size(), 200u, "the payload stays away");
+}
+
+Test(delegation, answers_are_read_back) {
+  for (CallStatus Status :
+       {CallStatus::Done, CallStatus::NoRoom, CallStatus::NoAnswer}) {
+    ReplyMessage M{{makeReply(5, {Status, Milliseconds(77)})}};
+    Message Read = decode(encode(M));
+    const ReplyRow &Row = std::get<ReplyMessage>(Read).Rows_.at(0);
+    cr_assert(Row.Sent_);
+    cr_assert(orderReply(Row).Status_ == Status);
+    cr_assert_eq(orderReply(Row).Clock_.count(), 77);
+  }
+  // What a later release may answer says nothing about the run.
+  cr_assert(orderReply({5, true, 99, 0}).Status_ == CallStatus::NoAnswer);
+  cr_assert(orderReply({5, true, -1, 0}).Status_ == CallStatus::NoAnswer);
+  for (const char *Bad : {"", "x", "o\x01", "p"})
+    cr_assert(std::holds_alternative<std::monostate>(decode(Bad)));
+  StartRow Unreadable;
+  Unreadable.Task_ = "no task";
+  cr_assert_not(startCall(Unreadable, "x"));
+}
