A claim that came too late is made again without another wait

Cause: a claim is stored only at the end of the claims that its writer has read. While 38 entries start, heartbeats move that end all the time; each claim that came too late began its wait anew, and in the end an entry of 0.12 cores, which waits longer, was first.

Evidence: edge-pohi-rakvere-4 claimed 0.58 s after the other slice was taken by a large entry, eight of which were free.

Change: a claim refused for that reason alone is repeated as soon as more of the claims has been read, which is asked for at once.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -215,6 +215,8 @@
     Store_.append(std::move(Call),
                   [this, W, SentAt](const ledger::AppendReply &R) {
                     ownership::onWritten(Claims_, W, R, SentAt, now());
+                    if (R.Status_ == ledger::StoreStatus::Moved)
+                      ledger::hurry(ClaimTail_, now());
                     wake();
                   });
   }
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -42,6 +42,9 @@
   TimePoint SeenAt_{};    ///< When the claim was read.
   TimePoint FreeSince_{}; ///< When the slice was first found without owner.
   bool Free_ = false;
+  /// End of the claims at which an own claim came too late: it is made again
+  /// once more of them has been read.
+  std::optional<Offset> TriedEnd_;
 };
 
 struct NodeView {
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -94,7 +94,8 @@
       View.Free_ = true;
       View.FreeSince_ = Now;
     }
-    if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice))
+    if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice) ||
+        View.TriedEnd_ == End)
       continue;
     ClaimRecord R{S.Options_.Self_, View.Generation_ + 1, 0,
                   S.Options_.Address_, S.StartOffset_};
@@ -157,7 +158,11 @@
   // An unanswered claim may have been stored. It is never used: another entry,
   // or this one later, claims the slice anew.
   if (!Stored || Reply.First_ + 1 < View.Number_ || S.Stopping_) {
-    View.FreeSince_ = Now;
+    // Something else was appended before it: the wait need not begin anew.
+    if (Reply.Status_ == StoreStatus::Moved)
+      View.TriedEnd_ = W.ExpectedEnd_;
+    else
+      View.FreeSince_ = Now;
     return;
   }
   View = SliceView{Reply.First_ + 1,
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -326,3 +326,30 @@
       cr_assert(Own.Before_ == Predecessor::MayRun);
     }
 }
+
+// Heartbeats of a whole fleet that starts again were stored before each claim,
+// the large entries waited anew each time, and a small one took the slice.
+Test(claims, a_claim_that_came_too_late_is_repeated_without_another_wait) {
+  Cell C(1);
+  State &S = C.Entries_[0];
+  std::size_t Tries = 0;
+  Milliseconds Wait = S.Options_.ClaimSpread_ + Milliseconds(200);
+  for (TimePoint End = C.Now_ + Wait; C.Now_ < End && S.Owned_.empty();) {
+    C.Now_ += Milliseconds(25);
+    onContact(S, C.Now_, C.Now_);
+    for (const Write &W : tick(S, {"s"}, C.Log_.size(), C.Now_)) {
+      bool Claim = W.Kind_ == Write::Kind::Claim;
+      if (Claim && ++Tries <= 2)
+        C.append({Write::Kind::Beat, {}, makeNode("n9", {"n9.1", "n9:1", 1})});
+      std::size_t Length = C.Log_.size();
+      onWritten(S, W, C.append(W), C.Now_, C.Now_);
+      if (!Claim || C.Log_.size() > Length)
+        continue;
+      // Nothing more has been read yet.
+      for (const Write &Again : tick(S, {"s"}, W.ExpectedEnd_, C.Now_))
+        cr_assert(Again.Kind_ != Write::Kind::Claim);
+    }
+  }
+  cr_assert_eq(Tries, 3u);
+  cr_assert_eq(S.Owned_.count("s"), 1u);
+}
