A page of newest records may take as long as a small link needs

Cause: a page of up to 1 MB was given up after 1 s. Over 10 Mbit/s it takes 0.8 s alone, and an entry loads several partitions at once: it asked for the same page again and again.

A store that is silent is found out by the relay after 0.6 s, as before.

--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -66,7 +66,8 @@
 struct NewestCall {
   Partition From_;
   std::string AfterKey_; ///< Only keys after this one; empty for all.
-  Milliseconds Timeout_{1'000};
+  /// A page of 1 MB takes 4 s over a link of 2 Mbit/s.
+  Milliseconds Timeout_{8'000};
 };
 
 struct ReadReply {
