--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -148,3 +148,10 @@
   cr_assert(deliver(T, stored(0, 1), T0).empty());
   cr_assert_eq(T.Next_, 0u);
 }
+
+// An entry on a small link gave each page up after a second and asked for it
+// again, without end.
+Test(tail, a_page_is_not_given_up_before_a_small_link_has_brought_it) {
+  constexpr std::int64_t PageBits = 8'000'000, LinkBitsPerMs = 2'000;
+  cr_assert_gt(NewestCall{}.Timeout_.count(), PageBits / LinkBitsPerMs);
+}
