Connections to a large fleet stay open

Cause: a worker may need two connections at a time, one for a renewal that it keeps waiting; with more than 512 open ones libcurl looks for the oldest of all after each call, closes it, and the next call to that worker opens another. As many handles as calls are open at a time in a large fleet are kept.

--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -13,9 +13,9 @@
 using detail::Transfer;
 
 /// Connections kept open for later calls.
-constexpr long CachedConnections = 512;
+constexpr long CachedConnections = 2'000;
 /// Handles kept for later calls; making one costs more than resetting it.
-constexpr std::size_t SpareHandles = 64;
+constexpr std::size_t SpareHandles = 512;
 
 /// Reads of 16 KB in which an overdue answer must be complete.
 constexpr int MaxOverdueReads = 1'000;
