--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -1,4 +1,5 @@
 #include "scheduler/detail/placing.hpp"
+#include "scheduler/detail/sorted_lookup.hpp"
 #include "scheduler/detail/tasks.hpp"
 #include "scheduler/scheduler.hpp"
 
@@ -147,6 +148,9 @@
 std::vector<Candidate> candidates(Pass &X, const WaitingStep &W) {
   ReservedRoom Reserved = reservedByOthers(X.State_, W.Id_);
   bool Advised = W.Job_->Queue_.Advice_.has_value();
+  SortedLookup Others(Reserved);
+  SortedLookup Denied(W.Step_->Denied_);
+  SortedLookup Permits(W.Step_->Permits_);
   std::vector<Candidate> Out;
   for (OpenWorker &O : X.Open_) {
     // Most workers of a busy fleet have no room; the rest is costlier to tell.
@@ -154,14 +158,14 @@
       continue;
     const WorkerId &Name = O.Worker_->Info_.Id_;
     Candidate C{O.Worker_, O.Free_};
-    if (auto R = Reserved.find(Name); R != Reserved.end())
-      C.Free_ -= R->second;
-    if (!fits(W.Size_, C.Free_) || W.Step_->Denied_.count(Name))
+    if (const auto *Row = Others.find(Name))
+      C.Free_ -= Row->second;
+    if (!fits(W.Size_, C.Free_) || Denied.find(Name))
       continue;
     if (W.Spec_->MaxPerWorker_ > 0)
       C.OnIt_ = tasksOn(*O.Worker_, W.Id_);
-    auto Permit = W.Step_->Permits_.find(Name);
-    C.Allowed_ = Permit != W.Step_->Permits_.end();
+    const auto *Permit = Permits.find(Name);
+    C.Allowed_ = Permit != nullptr;
     C.Permitted_ = !Advised || (C.Allowed_ &&
                                 Permit->second.Until_ > X.Now_ + PermitMargin);
     Out.push_back(C);
@@ -259,6 +263,8 @@
 /// which is in the order of names too.
 std::vector<WorkerId> unknownWorkers(const Pass &X, const WaitingStep &W,
                                      const std::vector<Candidate> &All) {
+  SortedLookup Denied(W.Step_->Denied_);
+  SortedLookup Permits(W.Step_->Permits_);
   std::vector<WorkerId> Out;
   auto Known = All.begin();
   for (const OpenWorker &O : X.Open_) {
@@ -267,8 +273,7 @@
       continue;
     }
     const WorkerId &Name = O.Worker_->Info_.Id_;
-    if (couldTake(*O.Worker_, W) && !W.Step_->Denied_.count(Name) &&
-        !W.Step_->Permits_.count(Name))
+    if (couldTake(*O.Worker_, W) && !Denied.find(Name) && !Permits.find(Name))
       Out.push_back(Name);
   }
   return Out;
