--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -179,6 +179,7 @@
   bool AcksDirty_ = false;
   bool PlaceWanted_ = false; ///< Something changed since the last placement.
   TimePoint PlaceNotBefore_{};
+  TimePoint LeaseCheckDueAt_{};
   TimePoint ExplainDueAt_{};
   TimePoint LossyUntil_{}; ///< Workers' answers got lost a moment ago.
   bool StoreAway_ = false; ///< The owner can't read the store at present.
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Leases last for seconds; a tick may follow every answer.
+constexpr Milliseconds LeaseCheckInterval{10};
+
 /// Times of one step as of its job's acceptance, in ms.
 nlohmann::json timesOf(const Job &J, const Step &P) {
   auto Since = [&](TimePoint T) {
@@ -65,7 +68,10 @@
   std::set<JobId> Scheduled = S.Scheduled_;
   for (const JobId &Id : Scheduled)
     detail::openDueOccurrences(S, S.Jobs_.at(Id), Now, NowUnixMs);
-  detail::checkLeases(S, Now, Out);
+  if (Now >= S.LeaseCheckDueAt_) {
+    S.LeaseCheckDueAt_ = Now + LeaseCheckInterval;
+    detail::checkLeases(S, Now, Out);
+  }
   detail::checkInheritance(S, Now, Out);
   detail::resendOrders(S, Now, Out);
   detail::placeTasks(S, Now, Out);
