--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -39,6 +39,7 @@
   std::string Body_;
   std::string Echo_; ///< Header X-Pollenvale-Echo of the answer.
   std::string Message_;
+  unsigned Connections_ = 0; ///< Connections opened for the call.
 };
 
 using ClientDone = std::function<void(ClientReply)>;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -100,6 +100,9 @@
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
   T.Reply_.Status_ = classify(T, Code);
   T.Reply_.Code_ = int(Status);
+  long Connections = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_NUM_CONNECTS, &Connections);
+  T.Reply_.Connections_ = unsigned(Connections);
   if (Code != CURLE_OK)
     T.Reply_.Message_ = curl_easy_strerror(Code);
 }
