The limit of a call counts from when its request could leave

Cause: a call was handed to libcurl in the loop's next turn and its limit ran from the submission. A late loop then found the connection open, sent the request and gave it up at once, with the connection, so that the next call to that worker had to open one again. Evidence: the new test fails on the code before: the connection opens in time, the loop is late, the peer answers 0.2 s after the request: Timeout. Change: a call starts when it is submitted; the limit runs from the end of opening the connection, which has its own limit.

--- a/packages/http/detail/transfer.hpp
+++ b/packages/http/detail/transfer.hpp
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace pollenvale::http::detail {
@@ -20,6 +21,7 @@
   /// Next limit: of opening the connection or of the whole call.
   std::chrono::steady_clock::time_point DueAt_{};
   std::chrono::steady_clock::time_point EndAt_{}; ///< Limit of the whole call.
+  std::chrono::steady_clock::time_point SubmittedAt_{};
 };
 
 /// Initialises libcurl once per process.
@@ -30,6 +32,8 @@
 void limitByLibrary(Transfer &T);
 /// Whether a byte of the request has left.
 bool isSent(const Transfer &T);
+/// When the connection was open for the request; empty if no byte has left.
+std::optional<std::chrono::steady_clock::time_point> sentAt(const Transfer &T);
 /// Fills status, code and message of \p T.Reply_ after the transfer.
 void conclude(Transfer &T, CURLcode Code);
 
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -83,6 +83,8 @@
     setDeadlines(*T);
     Transfers_[Easy] = std::move(T);
     curl_multi_add_handle(Multi_, Easy);
+    // At once, so that a late loop doesn't use up the peer's time.
+    step(CURL_SOCKET_TIMEOUT, 0);
     armDeadline();
   }
 
@@ -223,6 +225,7 @@
 
   void setDeadlines(Transfer &T) {
     auto Now = Clock::now();
+    T.SubmittedAt_ = Now;
     T.EndAt_ = T.DueAt_ = Now + T.Call_.Timeout_;
     if (T.Call_.ConnectTimeout_.count() > 0)
       T.DueAt_ = std::min(T.EndAt_, Now + T.Call_.ConnectTimeout_);
@@ -256,7 +259,10 @@
       return;
     std::unique_ptr<Transfer> &T = It->second;
     Deadlines_.erase({T->DueAt_, Easy});
-    if (T->DueAt_ < T->EndAt_ && detail::isSent(*T)) {
+    auto SentAt = detail::sentAt(*T);
+    if (SentAt)
+      T->EndAt_ = *SentAt + T->Call_.Timeout_;
+    if (SentAt && T->EndAt_ > Clock::now()) {
       T->DueAt_ = T->EndAt_;
       Deadlines_.emplace(T->DueAt_, Easy);
       return;
@@ -277,7 +283,7 @@
       auto It = Transfers_.find(Easy);
       if (It == Transfers_.end() || It->second->Socket_ == CURL_SOCKET_BAD)
         return;
-      bool Sent = detail::isSent(*It->second);
+      bool Sent = detail::sentAt(*It->second).has_value();
       pollfd P{It->second->Socket_, short(Sent ? POLLIN : POLLOUT), 0};
       if (::poll(&P, 1, 0) <= 0)
         return;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -95,6 +95,14 @@
   return Written > 0;
 }
 
+std::optional<std::chrono::steady_clock::time_point> sentAt(const Transfer &T) {
+  if (!isSent(T))
+    return std::nullopt;
+  curl_off_t Microseconds = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_PRETRANSFER_TIME_T, &Microseconds);
+  return T.SubmittedAt_ + std::chrono::microseconds(Microseconds);
+}
+
 void conclude(Transfer &T, CURLcode Code) {
   long Status = 0;
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
--- a/packages/http/tests/unit-late-loop.cpp
+++ b/packages/http/tests/unit-late-loop.cpp
@@ -213,6 +213,24 @@
   cr_expect_eq(P.Connections_, Peer::QueuedConnections + 1);
 }
 
+// A late loop opened connections and gave each up before it was of use.
+Test(late_loop, a_request_that_leaves_late_has_the_whole_limit) {
+  Peer P(FullQueue{});
+  Caller C;
+  C.submit(P, milliseconds(1'500));
+  C.Io_.run_for(milliseconds(200));
+  P.open();
+  cr_expect(
+      waitUntil([&] { return P.Connections_ == Peer::QueuedConnections + 1; }));
+  std::this_thread::sleep_for(milliseconds(1'000));
+  cr_expect(C.runUntil([&] { return P.Requests_ == 1 || C.Open_ == 0; }));
+  C.Io_.restart();
+  C.Io_.run_for(milliseconds(200));
+  P.answer();
+  cr_expect(C.runToEnd());
+  cr_expect_eq(C.answered(), 1);
+}
+
 Test(late_loop, connections_last_when_answers_are_read_late) {
   Peer P;
   Caller C;
