--- a/apps/pollenvale/fleet/loop_watch.cpp
+++ b/apps/pollenvale/fleet/loop_watch.cpp
@@ -44,8 +44,6 @@
 void LoopWatch::addCounters(Counters &All) const {
   http::ClientStats Stats = Http_.stats();
   All["call-not-sent"] = Stats.NotSent_;
-  All["call-timeout"] = Stats.Timeouts_;
-  All["connection-opened"] = Stats.Connections_;
   All["answer-unread"] = Stats.Unread_;
 }
 
