An owner that is behind with its jobs starts no tasks

While the store answers and the copy has not been read to its end for 2.5 s, nothing is placed; renewals, stops and ends go on. A store that does not answer is judged by the claims, as before.

Tests: unit_ledger tail::a_reader_that_is_answered_and_does_not_catch_up_is_behind, unit_scheduler steps::an_owner_that_is_behind_starts_nothing.

--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds RewriteInterval{200};
 constexpr Milliseconds LeaseMargin{400};
 constexpr unsigned LinesPerSecond = 50;
+/// Cancellations take effect within 3 s.
+constexpr Milliseconds LongestBehind{2'500};
 
 } // namespace
 
@@ -116,6 +118,8 @@
     send(std::move(Call));
   }
   State_.StoreAway_ = StoreAway;
+  State_.Behind_ =
+      ledger::isBehind(Context_.Partition_->Tail_, LongestBehind, now());
   scheduler::Outbox Out;
   scheduler::tick(State_, now(), nowUnixMs(), Out);
   perform(Out);
--- a/packages/ledger/detail/tail.hpp
+++ b/packages/ledger/detail/tail.hpp
@@ -60,5 +60,8 @@
 void hurry(Tail &T, TimePoint Now);
 /// Whether the partition could not be read for much longer than a read takes.
 bool isStale(const Tail &T, TimePoint Now);
+/// Whether the store answers and yet holds records that have waited to be read
+/// for longer than \p Limit.
+bool isBehind(const Tail &T, Milliseconds Limit, TimePoint Now);
 
 } // namespace pollenvale::ledger
--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -118,4 +118,8 @@
          T.Options_.Wait_ + T.Options_.Spacing_ + StaleMargin;
 }
 
+bool isBehind(const Tail &T, Milliseconds Limit, TimePoint Now) {
+  return Now - T.CurrentAt_ > Limit && Now - T.AnsweredAt_ <= Limit;
+}
+
 } // namespace pollenvale::ledger
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -168,3 +168,21 @@
   constexpr std::int64_t PageBits = 8'000'000, LinkBitsPerMs = 2'000;
   cr_assert_gt(NewestCall{}.Timeout_.count(), PageBits / LinkBitsPerMs);
 }
+
+// Guards against UNASKED: an owner that reads its jobs seconds late starts
+// tasks of jobs that were cancelled in the meantime.
+Test(tail, a_reader_that_is_answered_and_does_not_catch_up_is_behind) {
+  constexpr Milliseconds Limit{2'500};
+  Tail T;
+  onSent(T, T0);
+  cr_assert(onNewest(T, page(7, false), T0));
+  onRead(T, upTo(7, 7), T0);
+  TimePoint Later = T0 + Limit + Milliseconds(500);
+  cr_assert_not(isBehind(T, Limit, T0));
+  cr_assert_not(isBehind(T, Limit, Later), "the store does not answer");
+  onSent(T, Later);
+  onRead(T, upTo(9, 30), Later);
+  cr_assert(isBehind(T, Limit, Later));
+  onRead(T, upTo(30, 30), Later);
+  cr_assert_not(isBehind(T, Limit, Later));
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -203,7 +203,10 @@
   TimePoint ExplainDueAt_{};
   TimePoint LossyUntil_{}; ///< Workers' answers got lost a moment ago.
   bool StoreAway_ = false; ///< The owner can't read the store at present.
-  bool Fenced_ = false;    ///< A worker has seen a higher token.
+  /// The store answers, and the owner has not read all that it holds: jobs may
+  /// have been cancelled.
+  bool Behind_ = false;
+  bool Fenced_ = false; ///< A worker has seen a higher token.
   TimePoint LastTick_{};
   TimePoint PausedAt_{};  ///< First turn after the last long pause.
   TimePoint LateUntil_{}; ///< The owner's turns count as late until then.
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -396,6 +396,8 @@
 } // namespace
 
 void placeTasks(State &S, TimePoint Now, Outbox &Out) {
+  if (S.Behind_)
+    return;
   if (Now < S.PlaceNotBefore_)
     return;
   bool Revisit =
--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -87,3 +87,16 @@
   cr_assert_eq(C.jobs(), 0u);
   cr_assert(C.owner().State_.Jobs_.empty());
 }
+
+// Guards against UNASKED: see ledger::isBehind().
+Test(steps, an_owner_that_is_behind_starts_nothing) {
+  FleetCell C({"a", "b", "c"});
+  C.takeOver();
+  C.run(Milliseconds(200));
+  C.owner().State_.Behind_ = true;
+  C.submit("j1", plainJob({plainStep(4)}));
+  C.run(Milliseconds(1'000));
+  cr_assert(C.Starts_.empty());
+  C.owner().State_.Behind_ = false;
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+}
