--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -3,6 +3,7 @@
 #include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
 #include "fleet/follower.hpp"
+#include "fleet/loop_watch.hpp"
 #include "fleet/owned_slices.hpp"
 #include "fleet/policy_calls.hpp"
 #include "fleet/worker_registry.hpp"
@@ -47,6 +48,7 @@
     Claims_.Options_.Self_ = makeIncarnation(Boot_.NodeName_);
     Claims_.Options_.Address_ =
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
+    Claims_.Options_.Cpu_ = Boot_.Cpu_;
     Intake_.Store_ = &Store_;
     Intake_.Clock_ = now;
   }
@@ -83,9 +85,7 @@
       if (It != Partitions_.end())
         It->second->deliver(std::move(Records));
     };
-    P.Suspect_ = [this](const std::string &Address) {
-      Peers_.suspect(Address);
-    };
+    P.Suspect_ = std::bind_front(&PeerChannel::suspect, &Peers_);
     return P;
   }
 
@@ -106,13 +106,12 @@
     const std::string &Self = Claims_.Options_.Address_;
     Peers_.open(Self);
     Policy_.open(Self);
+    Starts_.open(Self);
     Peers_.subscribe(FrameKind::Store, [this](const std::string &Bytes) {
       Store_.onMessage(relay::decode(Bytes));
     });
   }
 
-  // --- following the store -------------------------------------------------
-
   std::shared_ptr<Follower> follow(ledger::Tail &Tail,
                                    ledger::TailOptions Options,
                                    FollowerEvents Events) {
@@ -183,13 +182,10 @@
   void onJobRecord(std::uint32_t Number, const ledger::KeyedRecord &R) {
     intake::PartitionCopy &Copy = Intake_.Partitions_.at(Number);
     ledger::Change Change = ledger::apply(Copy.Replica_, R);
-    if (Change.Kind_ == ledger::Change::Kind::None)
-      return;
-    Slices_.onRecord(Number, Change);
+    if (Change.Kind_ != ledger::Change::Kind::None)
+      Slices_.onRecord(Number, Change);
   }
 
-  // --- owning slices -------------------------------------------------------
-
   std::set<ownership::SliceName> wantedSlices() const {
     std::set<ownership::SliceName> Out;
     for (const workflow::Service &S : Catalog_.Services_)
@@ -208,6 +204,10 @@
   }
 
   void writeClaim(ownership::Write W) {
+    if (W.Kind_ == ownership::Write::Kind::GiveUp)
+      observe::log(Level::Info, "slice-given-up",
+                   {{"slice", W.Slice_},
+                    {"reason", Stopping_ ? "stopping" : "overloaded"}});
     ledger::AppendCall Call;
     Call.To_ = {ClaimTopic, 0};
     Call.Records_ = {W.Record_};
@@ -216,6 +216,8 @@
     Store_.append(std::move(Call),
                   [this, W, SentAt](const ledger::AppendReply &R) {
                     ownership::onWritten(Claims_, W, R, SentAt, now());
+                    if (R.Status_ == ledger::StoreStatus::Moved)
+                      ledger::hurry(ClaimTail_, now());
                     wake();
                   });
   }
@@ -246,14 +248,13 @@
     Context.Ask_ = [this](scheduler::AdviceCall Call) {
       Policy_.ask(std::move(Call));
     };
+    Context.Starts_ = &Starts_;
     Context.Wake_ = [this] { wake(); };
     Context.MaxLease_ = Boot_.MaxLease_;
     Context.KeepClosed_ = Boot_.ClosedJobsKept_ + ClosedJobsMargin;
     return Context;
   }
 
-  // --- callers --------------------------------------------------------------
-
   void onReadiness(const http::ServerRequest &R,
                    const http::Responder &Respond) {
     if (R.Path_ == "/metrics") {
@@ -275,7 +276,8 @@
     for (const auto &[Number, Copy] : Intake_.Partitions_)
       All["record-unreadable"] += Copy.Replica_.Unreadable_;
     All["record-unreadable"] += Claims_.Unreadable_;
-    return observe::expose(All);
+    Loop_.addCounters(All);
+    return observe::expose(All) + Loop_.expose();
   }
 
   bool copiesLoaded() const {
@@ -285,8 +287,6 @@
     return true;
   }
 
-  // --- event loop ------------------------------------------------------------
-
   void wake() {
     if (TurnPosted_)
       return;
@@ -299,19 +299,19 @@
 
   /// A part of the store that a new owner would need can't be read.
   bool isStoreAway(std::uint32_t Partition) const {
-    for (const ledger::Tail *T :
-         {&ConfigTail_, &ClaimTail_, &Intake_.Partitions_.at(Partition).Tail_})
-      if (ledger::isStale(*T, now()))
-        return true;
-    return false;
+    auto Stale = [](const ledger::Tail &T) {
+      return ledger::isStale(T, now());
+    };
+    return Stale(ConfigTail_) || Stale(ClaimTail_) ||
+           Stale(Intake_.Partitions_.at(Partition).Tail_);
   }
 
   void turn() {
-    bool MayOrder = ownership::mayOrder(Claims_, now());
-    Slices_.turn(MayOrder, [this](std::uint32_t Partition) {
-      return isStoreAway(Partition);
-    });
+    Slices_.turn(
+        ownership::mayOrder(Claims_, now()),
+        [this](std::uint32_t Partition) { return isStoreAway(Partition); });
     Policy_.turn(Claims_);
+    Starts_.turn(Claims_);
   }
 
   void scheduleTick() {
@@ -319,6 +319,7 @@
     Timer_.async_wait([this](std::error_code Err) {
       if (Err)
         return;
+      Loop_.onTick(now());
       tickClaims();
       relay::setPeers(Store_.Router_, ownership::peerAddresses(Claims_));
       Store_.tick();
@@ -336,8 +337,6 @@
     });
   }
 
-  // --- signals ---------------------------------------------------------------
-
   void waitForSignal() {
     Signals_.async_wait([this](std::error_code Err, int Signal) {
       if (Err)
@@ -386,6 +385,7 @@
   asio::signal_set Signals_;
   std::unique_ptr<http::Client> Http_;
   platform::Client Client_;
+  LoopWatch Loop_{TickInterval, *Http_};
   std::unique_ptr<http::Server> Ready_;
   std::unique_ptr<http::Server> Callers_;
 
@@ -404,6 +404,7 @@
                         Slices_.onAdvice(Call, Reply);
                         wake();
                       }};
+  StartCalls Starts_{Peers_, Client_, Intake_.Partitions_, Counters_};
   CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
   WorkerRegistry Registry_{
       Store_,
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -13,6 +13,9 @@
 constexpr Milliseconds FenceRetryInterval{200};
 constexpr Milliseconds RewriteInterval{200};
 constexpr Milliseconds LeaseMargin{400};
+constexpr unsigned LinesPerSecond = 50;
+/// Cancellations take effect within 3 s.
+constexpr Milliseconds LongestBehind{2'500};
 
 } // namespace
 
@@ -20,7 +23,8 @@
                        std::uint32_t Partition, ownership::Owned Claim,
                        Milliseconds SelfFence)
     : Context_(std::move(Context)), Slice_(std::move(Slice)),
-      Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence) {}
+      Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence),
+      Lines_(LinesPerSecond) {}
 
 void SliceOwner::lose(const char *Reason) {
   if (Stage_ == Stage::Over)
@@ -114,6 +118,8 @@
     send(std::move(Call));
   }
   State_.StoreAway_ = StoreAway;
+  State_.Behind_ =
+      ledger::isBehind(Context_.Partition_->Tail_, LongestBehind, now());
   scheduler::Outbox Out;
   scheduler::tick(State_, now(), nowUnixMs(), Out);
   perform(Out);
@@ -121,6 +127,10 @@
     lose("a worker has seen a higher token");
 }
 
+bool SliceOwner::isLate() const {
+  return Stage_ == Stage::Running && now() < State_.LateUntil_;
+}
+
 TimePoint SliceOwner::nextDue() const {
   if (Stage_ == Stage::Running)
     return scheduler::nextDue(State_, now());
@@ -187,8 +197,19 @@
     Context_.Ask_(std::move(Call));
   for (scheduler::WriteCall &Call : Out.Writes_)
     send(std::make_shared<scheduler::WriteCall>(std::move(Call)));
-  for (const scheduler::Note &N : Out.Notes_)
-    observe::log(Level::Info, N.Event_, N.Fields_);
+  for (scheduler::Note &N : Out.Notes_)
+    write(N);
+}
+
+void SliceOwner::write(scheduler::Note &N) {
+  if (N.Limited_) {
+    std::optional<std::uint64_t> LeftOut = Lines_.admit(N.Event_, now());
+    if (!LeftOut)
+      return count(State_.Counters_, "line-left-out");
+    if (*LeftOut > 0)
+      N.Fields_["left_out"] = *LeftOut;
+  }
+  observe::log(Level::Info, N.Event_, N.Fields_);
 }
 
 template <class Reply, class Handle>
@@ -212,10 +233,11 @@
 }
 
 void SliceOwner::send(const scheduler::StartCall &C) {
-  Context_.Client_->start(C, whileRunning<scheduler::OrderReply>(
-                                 [C](auto &S, const auto &R, auto &Out) {
-                                   scheduler::onStart(S, C, R, now(), Out);
-                                 }));
+  Context_.Starts_->start(C, Partition_,
+                          whileRunning<scheduler::OrderReply>(
+                              [C](auto &S, const auto &R, auto &Out) {
+                                scheduler::onStart(S, C, R, now(), Out);
+                              }));
 }
 
 void SliceOwner::send(const scheduler::StopCall &C) {
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -4,8 +4,10 @@
 #pragma once
 
 #include "advice/advice.hpp"
+#include "fleet/start_calls.hpp"
 #include "fleet/worker_registry.hpp"
 #include "intake/intake.hpp"
+#include "observe/observe.hpp"
 #include "ownership/ownership.hpp"
 #include "platform/adapter.hpp"
 
@@ -19,6 +21,7 @@
   const WorkerRegistry *Registry_ = nullptr;
   intake::PartitionCopy *Partition_ = nullptr;
   std::function<void(scheduler::AdviceCall)> Ask_;
+  StartCalls *Starts_ = nullptr;
   std::function<void()> Wake_; ///< Asks for a turn of the event loop.
   Milliseconds MaxLease_{10'000};
   Milliseconds KeepClosed_{180'000};
@@ -44,6 +47,8 @@
   /// The claim has been superseded.
   bool isOver() const { return Stage_ == Stage::Over; }
   TimePoint nextDue() const;
+  /// Its turns were late a moment ago.
+  bool isLate() const;
   const Counters &counters() const { return State_.Counters_; }
 
 private:
@@ -55,6 +60,7 @@
   void sendFence();
   void begin();
   void perform(scheduler::Outbox &Out);
+  void write(scheduler::Note &N);
   void send(const scheduler::RenewCall &C);
   void send(const scheduler::StartCall &C);
   void send(const scheduler::StopCall &C);
@@ -70,6 +76,7 @@
   std::uint32_t Partition_;
   ownership::Owned Claim_;
   Milliseconds SelfFence_;
+  observe::LineLimit Lines_;
   Stage Stage_ = Stage::Fencing;
   bool FenceInFlight_ = false;
   TimePoint FenceDueAt_{};
--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -39,6 +39,17 @@
   std::string Body_;
   std::string Echo_; ///< Header X-Pollenvale-Echo of the answer.
   std::string Message_;
+  unsigned Connections_ = 0; ///< Connections opened for the call.
+};
+
+/// Load of a client and what became of its calls.
+struct ClientStats {
+  std::size_t InFlight_ = 0;
+  std::uint64_t NotSent_ = 0; ///< Ended while their connection opened.
+  std::uint64_t Timeouts_ = 0;
+  std::uint64_t Connections_ = 0; ///< Opened.
+  /// Connections closed while part of an answer waited on them, unread.
+  std::uint64_t Unread_ = 0;
 };
 
 using ClientDone = std::function<void(ClientReply)>;
@@ -49,6 +60,8 @@
   /// Thread-safe. \p Done runs on the client's thread, exactly once, but not
   /// after the client is destroyed.
   virtual void submit(ClientCall Call, ClientDone Done) = 0;
+  /// All zero for a client with a thread of its own.
+  virtual ClientStats stats() const { return {}; }
 };
 
 std::unique_ptr<Client> makeClient();
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -64,11 +64,20 @@
          silence(S, View) > S.Options_.SilenceLimit_;
 }
 
+/// What this entry waits for those with more processor. It depends on its own
+/// alone: with none of those alive the take-over is later by no more than this.
+Milliseconds scarcityDelay(const Options &O) {
+  if (O.Cpu_ <= 0 || O.Cpu_ >= O.AmpleCpu_)
+    return Milliseconds(0);
+  return O.ScarcityDelay_ * (O.AmpleCpu_ - O.Cpu_) / O.AmpleCpu_;
+}
+
 Milliseconds claimDelay(const State &S, const SliceName &Slice) {
   auto Spread = std::uint64_t(S.Options_.ClaimSpread_.count());
   auto Jitter = stableHash(Slice + S.Options_.Self_) % (Spread + 1);
   auto Load = std::int64_t(S.Owned_.size() + S.Claiming_.size());
-  return Milliseconds(std::int64_t(Jitter)) + S.Options_.ClaimPenalty_ * Load;
+  return Milliseconds(std::int64_t(Jitter)) + S.Options_.ClaimPenalty_ * Load +
+         scarcityDelay(S.Options_);
 }
 
 void claimFreeSlices(State &S, const std::set<SliceName> &Wanted, Offset End,
@@ -85,7 +94,8 @@
       View.Free_ = true;
       View.FreeSince_ = Now;
     }
-    if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice))
+    if (elapsed(View.FreeSince_, Now) < claimDelay(S, Slice) ||
+        View.TriedEnd_ == End)
       continue;
     ClaimRecord R{S.Options_.Self_, View.Generation_ + 1, 0,
                   S.Options_.Address_, S.StartOffset_};
@@ -104,6 +114,31 @@
   S.Owned_.clear();
 }
 
+bool holdsSlice(const State &S, const NodeId &Node) {
+  return std::any_of(S.Slices_.begin(), S.Slices_.end(), [&](const auto &V) {
+    return V.second.Holder_ == Node && !V.second.GivenUp_;
+  });
+}
+
+/// An entry with ample processor that lives and owns nothing.
+bool hasAmplePeer(const State &S, TimePoint Now) {
+  const Options &O = S.Options_;
+  return std::any_of(S.Nodes_.begin(), S.Nodes_.end(), [&](const auto &N) {
+    const NodeView &Node = N.second;
+    return Node.Cpu_ >= O.AmpleCpu_ && Node.Node_ != O.Self_ &&
+           elapsed(Node.SeenAt_, Now) <= O.IdleBeat_ * 3 / 2 &&
+           !holdsSlice(S, Node.Node_);
+  });
+}
+
+bool shouldHandOver(const State &S, TimePoint Now) {
+  const Options &O = S.Options_;
+  bool Small = O.Cpu_ > 0 && O.Cpu_ < O.AmpleCpu_;
+  return Small && !S.Owned_.empty() && S.OverloadedSince_ &&
+         elapsed(*S.OverloadedSince_, Now) >= O.OverloadLimit_ &&
+         elapsed(S.ContactAt_, Now) < ContactGap && hasAmplePeer(S, Now);
+}
+
 } // namespace
 
 std::string_view toString(Predecessor P) {
@@ -121,8 +156,8 @@
   } else if (kindOf(R.Key_) == RecordKind::Node) {
     auto Node = parseNode(R.Value_);
     if (Node)
-      S.Nodes_[Name] =
-          NodeView{Node->Address_, Node->Node_, Node->StartOffset_, Now};
+      S.Nodes_[Name] = NodeView{Node->Address_, Node->Node_, Node->StartOffset_,
+                                Node->Cpu_, Now};
     S.Unreadable_ += !Node;
   }
 }
@@ -148,7 +183,11 @@
   // An unanswered claim may have been stored. It is never used: another entry,
   // or this one later, claims the slice anew.
   if (!Stored || Reply.First_ + 1 < View.Number_ || S.Stopping_) {
-    View.FreeSince_ = Now;
+    // Something else was appended before it: the wait need not begin anew.
+    if (Reply.Status_ == StoreStatus::Moved)
+      View.TriedEnd_ = W.ExpectedEnd_;
+    else
+      View.FreeSince_ = Now;
     return;
   }
   View = SliceView{Reply.First_ + 1,
@@ -169,6 +208,11 @@
     giveUpSlices(S, Out);
     return Out;
   }
+  if (shouldHandOver(S, Now)) {
+    giveUpSlices(S, Out);
+    S.OverloadedSince_.reset();
+    return Out;
+  }
   if (End && S.StartOffset_ == 0)
     S.StartOffset_ = *End + 1;
   if (End && elapsed(S.ContactAt_, Now) < ContactGap)
@@ -178,7 +222,7 @@
   bool Due = S.StartOffset_ != 0 &&
              (S.BeatSentAt_ == TimePoint{} || Now - S.BeatSentAt_ >= Interval);
   if (Due && !S.BeatInFlight_) {
-    NodeRecord R{O.Self_, O.Address_, S.StartOffset_};
+    NodeRecord R{O.Self_, O.Address_, S.StartOffset_, O.Cpu_};
     Out.push_back({Write::Kind::Beat, {}, makeNode(nodeName(O.Self_), R), {}});
     S.BeatInFlight_ = true;
     S.BeatSentAt_ = Now;
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -17,6 +17,7 @@
   TimePoint Now_{std::chrono::seconds(100)};
   bool StoreDown_ = false;
   std::set<std::size_t> Silent_; ///< Entries that do nothing.
+  std::set<SliceName> Wanted_{"s"};
 
   explicit Cell(std::size_t Count) {
     for (std::size_t I = 0; I < Count; ++I) {
@@ -52,7 +53,7 @@
         continue;
       if (!StoreDown_)
         onContact(Entries_[I], Now_, Now_);
-      for (const Write &W : tick(Entries_[I], {"s"}, Log_.size(), Now_))
+      for (const Write &W : tick(Entries_[I], Wanted_, Log_.size(), Now_))
         onWritten(Entries_[I], W, append(W), Now_, Now_);
     }
   }
@@ -264,3 +265,126 @@
       cr_assert(W.Kind_ != Write::Kind::Claim, "the owner is not silent yet");
   }
 }
+
+namespace {
+
+/// \p Large entries with 0.5 cores and \p Small ones with 0.12, in that order.
+Cell mixedCell(std::size_t Large, std::size_t Small) {
+  Cell C(Large + Small);
+  for (std::size_t I = 0; I < C.Entries_.size(); ++I)
+    C.Entries_[I].Options_.Cpu_ = I < Large ? 500 : 120;
+  return C;
+}
+
+std::size_t slicesOwned(const Cell &C, std::size_t From, std::size_t To) {
+  std::size_t Out = 0;
+  for (std::size_t I = From; I < To; ++I)
+    if (!C.Silent_.count(I))
+      Out += C.Entries_[I].Owned_.size();
+  return Out;
+}
+
+} // namespace
+
+Test(claims, slices_go_to_entries_with_processor_one_each) {
+  Cell C = mixedCell(10, 28);
+  C.Wanted_ = {"s", "s~1", "s~2", "s~3", "s~4", "s~5", "t", "t~1"};
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(slicesOwned(C, 0, 10), 8u);
+  for (const State &S : C.Entries_)
+    cr_assert_leq(S.Owned_.size(), 1u);
+}
+
+Test(claims, small_entries_take_over_soon_when_no_large_one_lives) {
+  // Silence of 1.9 s, the spread of claims, and less than a second more.
+  Cell C = mixedCell(2, 6);
+  C.run(Milliseconds(1'000));
+  cr_assert_eq(slicesOwned(C, 0, 2), 1u);
+  C.Silent_ = {0, 1};
+  C.run(Milliseconds(3'200));
+  cr_assert_eq(slicesOwned(C, 2, 8), 1u);
+}
+
+Test(claims, both_slices_of_a_killed_entry_are_taken_over) {
+  Cell C = mixedCell(1, 3);
+  C.Wanted_ = {"s", "s~1"};
+  for (State &S : C.Entries_)
+    S.Options_.ScarcityDelay_ = Milliseconds(60'000);
+  C.run(Milliseconds(2'500));
+  for (State &S : C.Entries_)
+    S.Options_.ScarcityDelay_ = Options().ScarcityDelay_;
+  cr_assert_eq(slicesOwned(C, 0, 1), 2u);
+  std::set<ClaimNumber> Former;
+  for (const auto &[Slice, Own] : C.Entries_[0].Owned_)
+    Former.insert(Own.Number_);
+  C.Silent_ = {0};
+  C.run(Milliseconds(3'200));
+  cr_assert_eq(slicesOwned(C, 1, 4), 2u);
+  for (std::size_t I = 1; I < 4; ++I)
+    for (const auto &[Slice, Own] : C.Entries_[I].Owned_) {
+      cr_assert_gt(Own.Number_, *Former.rbegin());
+      cr_assert(Own.Before_ == Predecessor::MayRun);
+    }
+}
+
+// Heartbeats of a whole fleet that starts again were stored before each claim,
+// the large entries waited anew each time, and a small one took the slice.
+Test(claims, a_claim_that_came_too_late_is_repeated_without_another_wait) {
+  Cell C(1);
+  State &S = C.Entries_[0];
+  std::size_t Tries = 0;
+  Milliseconds Wait = S.Options_.ClaimSpread_ + Milliseconds(200);
+  for (TimePoint End = C.Now_ + Wait; C.Now_ < End && S.Owned_.empty();) {
+    C.Now_ += Milliseconds(25);
+    onContact(S, C.Now_, C.Now_);
+    for (const Write &W : tick(S, {"s"}, C.Log_.size(), C.Now_)) {
+      bool Claim = W.Kind_ == Write::Kind::Claim;
+      if (Claim && ++Tries <= 2)
+        C.append({Write::Kind::Beat, {}, makeNode("n9", {"n9.1", "n9:1", 1})});
+      std::size_t Length = C.Log_.size();
+      onWritten(S, W, C.append(W), C.Now_, C.Now_);
+      if (!Claim || C.Log_.size() > Length)
+        continue;
+      // Nothing more has been read yet.
+      for (const Write &Again : tick(S, {"s"}, W.ExpectedEnd_, C.Now_))
+        cr_assert(Again.Kind_ != Write::Kind::Claim);
+    }
+  }
+  cr_assert_eq(Tries, 3u);
+  cr_assert_eq(S.Owned_.count("s"), 1u);
+}
+
+namespace {
+
+/// Entry 0, a small one, has claimed the slice before entry 1 became large.
+void beginWithSmallOwner(Cell &C) {
+  C.Entries_[0].Options_.Cpu_ = 120;
+  C.Entries_[1].Options_.Cpu_ = 1;
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u);
+}
+
+} // namespace
+
+// Guards against SHORT: a small entry took a slice while the large ones were
+// away, can't keep up with it, and keeps it after they are back.
+Test(claims, an_overloaded_small_owner_hands_over_to_a_large_entry) {
+  Cell C(2);
+  beginWithSmallOwner(C);
+  C.Entries_[0].OverloadedSince_ = C.Now_;
+  C.run(Milliseconds(8'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u, "nobody could do better");
+  C.Entries_[1].Options_.Cpu_ = 500;
+  C.run(Milliseconds(8'000));
+  cr_assert(C.Entries_[0].Owned_.empty());
+  cr_assert_eq(C.Entries_[1].Owned_.size(), 1u);
+  cr_assert(C.Entries_[1].Owned_.at("s").Before_ == Predecessor::None);
+}
+
+Test(claims, a_small_owner_that_keeps_up_stays) {
+  Cell C(2);
+  beginWithSmallOwner(C);
+  C.Entries_[1].Options_.Cpu_ = 500;
+  C.run(Milliseconds(12'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u);
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -34,6 +34,14 @@
   unsigned AppliedShare_ = 100;
 };
 
+/// A run that the owner gave up without its worker's word of an end.
+struct GivenUpRun {
+  std::uint32_t Number_ = 0;
+  WorkerId Worker_;
+  std::string Cause_;
+  TimePoint At_{};
+};
+
 struct Task {
   bool Done_ = false;
   std::set<std::uint32_t> FailedRuns_; ///< Attempts used up.
@@ -41,6 +49,7 @@
   WorkerId FailedOn_; ///< Where it failed last.
   std::string Checkpoint_;
   std::optional<Run> Run_;
+  std::vector<GivenUpRun> GivenUp_; ///< For the log only.
   TimePoint NotBefore_{};
 };
 
@@ -91,8 +100,9 @@
 
 struct Worker {
   WorkerInfo Info_;
-  bool Listed_ = true;    ///< The registry names it.
-  bool Rostered_ = false; ///< A stored roster names it.
+  bool Listed_ = true;     ///< The registry names it.
+  TimePoint UnlistedAt_{}; ///< When the registry dropped it.
+  bool Rostered_ = false;  ///< A stored roster names it.
   /// Draining and empty: it gets no lease and is left out of the roster, so
   /// that no later owner waits for it.
   bool Released_ = false;
@@ -107,6 +117,10 @@
   bool RenewInFlight_ = false;
   TimePoint RenewDueAt_{};
   unsigned Misses_ = 0; ///< Renewals in a row without an answer.
+  /// Renewals in a row without an answer that were sent after its leases were
+  /// over, by an owner that read its answers in time.
+  unsigned SilentCalls_ = 0;
+  TimePoint SilentSince_{}; ///< When the first of them was sent.
   /// Latest end of any lease that this owner has given there.
   TimePoint LeaseEndsAt_{};
   std::uint64_t SeenEnd_ = 0;
@@ -115,6 +129,12 @@
   TimePoint AvoidUntil_{};
   unsigned BestEffortShare_ =
       100; ///< Share that best-effort tasks there may work at.
+  // For the log only.
+  TimePoint FirstMissAt_{};   ///< When the first of Misses_ was sent.
+  Milliseconds MissLimit_{0}; ///< Limit of the last unanswered renewal.
+  std::size_t GivenUp_ = 0;   ///< Runs given up since the last such line.
+  TimePoint GaveUpAt_{};      ///< When the last of them was.
+  std::uint64_t SentAck_ = 0; ///< Highest end acknowledged by a renewal.
 };
 
 struct Options {
@@ -179,11 +199,17 @@
   bool AcksDirty_ = false;
   bool PlaceWanted_ = false; ///< Something changed since the last placement.
   TimePoint PlaceNotBefore_{};
+  TimePoint LeaseCheckDueAt_{};
   TimePoint ExplainDueAt_{};
   TimePoint LossyUntil_{}; ///< Workers' answers got lost a moment ago.
   bool StoreAway_ = false; ///< The owner can't read the store at present.
-  bool Fenced_ = false;    ///< A worker has seen a higher token.
+  /// The store answers, and the owner has not read all that it holds: jobs may
+  /// have been cancelled.
+  bool Behind_ = false;
+  bool Fenced_ = false; ///< A worker has seen a higher token.
   TimePoint LastTick_{};
+  TimePoint PausedAt_{};  ///< First turn after the last long pause.
+  TimePoint LateUntil_{}; ///< The owner's turns count as late until then.
   Counters Counters_;
 };
 
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -1,4 +1,5 @@
 #include "scheduler/detail/tasks.hpp"
+#include "scheduler/detail/trace.hpp"
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
@@ -60,7 +61,10 @@
           W.Info_.Labels_.count(Spec.RequiredLabel_));
 }
 
-void noteLoss(State &S, TimePoint Now) { S.LossyUntil_ = Now + LossyTime; }
+void noteLoss(State &S, TimePoint Now) {
+  if (!isLate(S, Now))
+    S.LossyUntil_ = Now + LossyTime;
+}
 
 void extendLease(State &S, Worker &W, Milliseconds Length, TimePoint Now) {
   Length = std::min(Length, S.Options_.MaxLease_);
@@ -84,8 +88,10 @@
       extendLease(S, W, Lease, Now);
       if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
         Call.Wait_ = Now < S.LossyUntil_ ? LossyRenewWait : BusyRenewWait;
-    }
+    } else if (W.Misses_ > 0)
+      Call.To_.Timeout_ = retryTimeout(S, W, Now);
     Call.To_.Timeout_ += Call.Wait_;
+    traceAck(W, Now, Out);
     W.RenewInFlight_ = true;
     Out.Renewals_.push_back(std::move(Call));
   }
@@ -107,12 +113,13 @@
 } // namespace
 
 void checkLeases(State &S, TimePoint Now, Outbox &Out) {
+  bool OthersAnswer = mostAnswer(S, Now);
   for (auto It = S.Workers_.begin(); It != S.Workers_.end();) {
     Worker &W = It->second;
     releaseEmpty(S, W);
     bool Lapsed = Now > W.LeaseEndsAt_ || W.Released_;
-    if (Lapsed && W.Misses_ > 0)
-      loseTasks(S, W, Now, Out, "lease");
+    if (Lapsed && isSilent(S, W, OthersAnswer, Now))
+      loseTasks(S, W, Now, Out, "silent");
     if (Lapsed && !W.Listed_ && W.Tasks_.empty() && !W.RenewInFlight_ &&
         !S.Unaccounted_.count(It->first)) {
       It = S.Workers_.erase(It);
@@ -126,8 +133,13 @@
 void checkInheritance(State &S, TimePoint Now, Outbox &Out) {
   if (!S.InheritanceOpen_)
     return;
+  bool OthersAnswer = mostAnswer(S, Now);
   if (Now >= S.Options_.InheritedLeasesEndAt_)
-    S.Unaccounted_.clear();
+    std::erase_if(S.Unaccounted_, [&](const WorkerId &Id) {
+      auto It = S.Workers_.find(Id);
+      return It == S.Workers_.end() ||
+             isSilent(S, It->second, OthersAnswer, Now);
+    });
   if (!S.Unaccounted_.empty())
     return;
   S.InheritanceOpen_ = false;
@@ -168,12 +180,14 @@
   return J && T && !T->Done_ && !workflow::isClosed(J->State_);
 }
 
-void refreshRun(const workflow::StepSpec &Spec, Task &T, const RunningTask &R,
-                TimePoint Now) {
+void refreshRun(State &S, const workflow::StepSpec &Spec, Task &T,
+                const RunningTask &R, TimePoint Now) {
   Run &X = *T.Run_;
   if (X.Phase_ == RunPhase::Starting && !X.InFlight_) {
     X.Phase_ = RunPhase::Running;
     X.SettledAt_ = Now;
+    if (!X.StopWanted_)
+      S.Unsettled_.erase(R.Task_);
   }
   noteProgress(Spec, X, R.Percent_, Now);
   if (!R.Checkpoint_.empty())
@@ -192,7 +206,7 @@
       Mine = true;
     }
     if (Mine) {
-      refreshRun(*findSpec(S, R.Task_.Step_), *T, R, Now);
+      refreshRun(S, *findSpec(S, R.Task_.Step_), *T, R, Now);
       if (!R.Checkpoint_.empty())
         findStep(S, R.Task_.Step_)->GangCheckpoint_ = R.Checkpoint_;
       continue;
@@ -204,9 +218,17 @@
   }
 }
 
-/// Runs that a list asked for after they were settled lacks have ended.
-void dropAbsent(State &S, Worker &W, const RenewReply &Reply,
-                TimePoint SentAt) {
+/// A worker that has more ends lists the others next time.
+constexpr std::size_t MaxEndsListed = 500;
+
+/// Runs that a list asked for after they were settled lacks have ended. A list
+/// with rows that can't be read may lack any of them, or their ends.
+void dropAbsent(State &S, Worker &W, const RenewReply &Reply, TimePoint SentAt,
+                TimePoint Now, Outbox &Out) {
+  bool Complete = Reply.UnreadableRuns_ == 0 && Reply.UnreadableEnds_ == 0 &&
+                  Reply.Ended_.size() < MaxEndsListed;
+  if (!Complete)
+    return;
   std::set<TaskId> Listed;
   for (const RunningTask &R : Reply.Running_)
     Listed.insert(R.Task_);
@@ -218,13 +240,14 @@
     if (!T->Run_->SettledAt_ || *T->Run_->SettledAt_ >= SentAt)
       continue;
     count(S.Counters_, "run-absent");
+    traceGiveUp(S, Id, "absent", Now, Out);
     detachRun(S, Id);
     reconcileGang(S, Id.Step_);
   }
 }
 
-void onMiss(State &S, Worker &W, TimePoint Now) {
-  ++W.Misses_;
+void onMiss(State &S, Worker &W, TimePoint SentAt, TimePoint Now) {
+  noteUnanswered(S, W, SentAt, Now);
   count(S.Counters_, "renewal-no-answer");
   noteLoss(S, Now);
   W.RenewDueAt_ = Now + RenewRetryInterval;
@@ -269,11 +292,12 @@
   W.Listed_ = true;
 }
 
-void onWorkerGone(State &S, const WorkerId &Id, TimePoint) {
+void onWorkerGone(State &S, const WorkerId &Id, TimePoint Now) {
   auto It = S.Workers_.find(Id);
-  if (It == S.Workers_.end())
+  if (It == S.Workers_.end() || !It->second.Listed_)
     return;
   It->second.Listed_ = false;
+  It->second.UnlistedAt_ = Now;
 }
 
 void onRenewed(State &S, const RenewCall &Call, const RenewReply &Reply,
@@ -287,36 +311,40 @@
     S.Fenced_ = true;
     return;
   }
-  if (Reply.Status_ == CallStatus::Elsewhere) {
+  bool Moved = Call.To_.Address_ != W.Info_.Address_;
+  if (Reply.Status_ == CallStatus::Elsewhere && !Moved) {
     // Its address belongs to another worker: this one has ended.
     detail::account(S, Call.To_.Worker_);
     W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
     detail::loseTasks(S, W, Now, Out, "replaced");
-    detail::onMiss(S, W, Now);
+    detail::onMiss(S, W, SentAt, Now);
     W.RenewDueAt_ = Now + Milliseconds(1'000);
     return;
   }
   if (Reply.Status_ != CallStatus::Done) {
-    detail::onMiss(S, W, Now);
+    detail::traceMiss(S, W, Call, SentAt, Now, Out);
+    detail::onMiss(S, W, SentAt, Now);
     return;
   }
-  if (Reply.Unreadable_ > 0)
-    count(S.Counters_, "row-unreadable", Reply.Unreadable_);
-  W.Misses_ = 0;
+  if (std::size_t Rows = Reply.UnreadableRuns_ + Reply.UnreadableEnds_)
+    count(S.Counters_, "row-unreadable", Rows);
+  detail::noteAnswered(W);
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
   bool First = !W.Known_;
   detail::onIncarnation(S, W, Reply);
   W.Known_ = true;
   for (const EndedTask &End : Reply.Ended_) {
-    if (End.Number_ <= W.SeenEnd_)
+    if (End.Number_ <= W.SeenEnd_) {
+      detail::traceKnownEnd(S, Call.To_.Worker_, End, Out);
       continue;
+    }
     W.SeenEnd_ = End.Number_;
     S.AcksDirty_ = true;
     detail::applyEnd(S, Call.To_.Worker_, End, Now, Out);
   }
   detail::applyRunning(S, W, Reply, First, Now, Out);
-  detail::dropAbsent(S, W, Reply, SentAt);
+  detail::dropAbsent(S, W, Reply, SentAt, Now, Out);
   detail::adjustThrottle(S, W, Reply, Out);
   detail::stopStalled(S, W, Now, Out);
   detail::account(S, Call.To_.Worker_);
