--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -85,9 +85,7 @@
       if (It != Partitions_.end())
         It->second->deliver(std::move(Records));
     };
-    P.Suspect_ = [this](const std::string &Address) {
-      Peers_.suspect(Address);
-    };
+    P.Suspect_ = std::bind_front(&PeerChannel::suspect, &Peers_);
     return P;
   }
 
@@ -108,13 +106,12 @@
     const std::string &Self = Claims_.Options_.Address_;
     Peers_.open(Self);
     Policy_.open(Self);
+    Starts_.open(Self);
     Peers_.subscribe(FrameKind::Store, [this](const std::string &Bytes) {
       Store_.onMessage(relay::decode(Bytes));
     });
   }
 
-  // --- following the store -------------------------------------------------
-
   std::shared_ptr<Follower> follow(ledger::Tail &Tail,
                                    ledger::TailOptions Options,
                                    FollowerEvents Events) {
@@ -185,13 +182,10 @@
   void onJobRecord(std::uint32_t Number, const ledger::KeyedRecord &R) {
     intake::PartitionCopy &Copy = Intake_.Partitions_.at(Number);
     ledger::Change Change = ledger::apply(Copy.Replica_, R);
-    if (Change.Kind_ == ledger::Change::Kind::None)
-      return;
-    Slices_.onRecord(Number, Change);
+    if (Change.Kind_ != ledger::Change::Kind::None)
+      Slices_.onRecord(Number, Change);
   }
 
-  // --- owning slices -------------------------------------------------------
-
   std::set<ownership::SliceName> wantedSlices() const {
     std::set<ownership::SliceName> Out;
     for (const workflow::Service &S : Catalog_.Services_)
@@ -210,6 +204,10 @@
   }
 
   void writeClaim(ownership::Write W) {
+    if (W.Kind_ == ownership::Write::Kind::GiveUp)
+      observe::log(Level::Info, "slice-given-up",
+                   {{"slice", W.Slice_},
+                    {"reason", Stopping_ ? "stopping" : "overloaded"}});
     ledger::AppendCall Call;
     Call.To_ = {ClaimTopic, 0};
     Call.Records_ = {W.Record_};
@@ -218,6 +216,8 @@
     Store_.append(std::move(Call),
                   [this, W, SentAt](const ledger::AppendReply &R) {
                     ownership::onWritten(Claims_, W, R, SentAt, now());
+                    if (R.Status_ == ledger::StoreStatus::Moved)
+                      ledger::hurry(ClaimTail_, now());
                     wake();
                   });
   }
@@ -248,14 +248,13 @@
     Context.Ask_ = [this](scheduler::AdviceCall Call) {
       Policy_.ask(std::move(Call));
     };
+    Context.Starts_ = &Starts_;
     Context.Wake_ = [this] { wake(); };
     Context.MaxLease_ = Boot_.MaxLease_;
     Context.KeepClosed_ = Boot_.ClosedJobsKept_ + ClosedJobsMargin;
     return Context;
   }
 
-  // --- callers --------------------------------------------------------------
-
   void onReadiness(const http::ServerRequest &R,
                    const http::Responder &Respond) {
     if (R.Path_ == "/metrics") {
@@ -288,8 +287,6 @@
     return true;
   }
 
-  // --- event loop ------------------------------------------------------------
-
   void wake() {
     if (TurnPosted_)
       return;
@@ -302,19 +299,19 @@
 
   /// A part of the store that a new owner would need can't be read.
   bool isStoreAway(std::uint32_t Partition) const {
-    for (const ledger::Tail *T :
-         {&ConfigTail_, &ClaimTail_, &Intake_.Partitions_.at(Partition).Tail_})
-      if (ledger::isStale(*T, now()))
-        return true;
-    return false;
+    auto Stale = [](const ledger::Tail &T) {
+      return ledger::isStale(T, now());
+    };
+    return Stale(ConfigTail_) || Stale(ClaimTail_) ||
+           Stale(Intake_.Partitions_.at(Partition).Tail_);
   }
 
   void turn() {
-    bool MayOrder = ownership::mayOrder(Claims_, now());
-    Slices_.turn(MayOrder, [this](std::uint32_t Partition) {
-      return isStoreAway(Partition);
-    });
+    Slices_.turn(
+        ownership::mayOrder(Claims_, now()),
+        [this](std::uint32_t Partition) { return isStoreAway(Partition); });
     Policy_.turn(Claims_);
+    Starts_.turn(Claims_);
   }
 
   void scheduleTick() {
@@ -340,8 +337,6 @@
     });
   }
 
-  // --- signals ---------------------------------------------------------------
-
   void waitForSignal() {
     Signals_.async_wait([this](std::error_code Err, int Signal) {
       if (Err)
@@ -409,6 +404,7 @@
                         Slices_.onAdvice(Call, Reply);
                         wake();
                       }};
+  StartCalls Starts_{Peers_, Client_, Intake_.Partitions_, Counters_};
   CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
   WorkerRegistry Registry_{
       Store_,
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds RewriteInterval{200};
 constexpr Milliseconds LeaseMargin{400};
 constexpr unsigned LinesPerSecond = 50;
+/// Cancellations take effect within 3 s.
+constexpr Milliseconds LongestBehind{2'500};
 
 } // namespace
 
@@ -116,6 +118,8 @@
     send(std::move(Call));
   }
   State_.StoreAway_ = StoreAway;
+  State_.Behind_ =
+      ledger::isBehind(Context_.Partition_->Tail_, LongestBehind, now());
   scheduler::Outbox Out;
   scheduler::tick(State_, now(), nowUnixMs(), Out);
   perform(Out);
@@ -123,6 +127,10 @@
     lose("a worker has seen a higher token");
 }
 
+bool SliceOwner::isLate() const {
+  return Stage_ == Stage::Running && now() < State_.LateUntil_;
+}
+
 TimePoint SliceOwner::nextDue() const {
   if (Stage_ == Stage::Running)
     return scheduler::nextDue(State_, now());
@@ -225,10 +233,11 @@
 }
 
 void SliceOwner::send(const scheduler::StartCall &C) {
-  Context_.Client_->start(C, whileRunning<scheduler::OrderReply>(
-                                 [C](auto &S, const auto &R, auto &Out) {
-                                   scheduler::onStart(S, C, R, now(), Out);
-                                 }));
+  Context_.Starts_->start(C, Partition_,
+                          whileRunning<scheduler::OrderReply>(
+                              [C](auto &S, const auto &R, auto &Out) {
+                                scheduler::onStart(S, C, R, now(), Out);
+                              }));
 }
 
 void SliceOwner::send(const scheduler::StopCall &C) {
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "advice/advice.hpp"
+#include "fleet/start_calls.hpp"
 #include "fleet/worker_registry.hpp"
 #include "intake/intake.hpp"
 #include "observe/observe.hpp"
@@ -20,6 +21,7 @@
   const WorkerRegistry *Registry_ = nullptr;
   intake::PartitionCopy *Partition_ = nullptr;
   std::function<void(scheduler::AdviceCall)> Ask_;
+  StartCalls *Starts_ = nullptr;
   std::function<void()> Wake_; ///< Asks for a turn of the event loop.
   Milliseconds MaxLease_{10'000};
   Milliseconds KeepClosed_{180'000};
@@ -45,6 +47,8 @@
   /// The claim has been superseded.
   bool isOver() const { return Stage_ == Stage::Over; }
   TimePoint nextDue() const;
+  /// Its turns were late a moment ago.
+  bool isLate() const;
   const Counters &counters() const { return State_.Counters_; }
 
 private:
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -95,11 +95,22 @@
   return Written > 0;
 }
 
+std::optional<std::chrono::steady_clock::time_point> sentAt(const Transfer &T) {
+  if (!isSent(T))
+    return std::nullopt;
+  curl_off_t Microseconds = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_PRETRANSFER_TIME_T, &Microseconds);
+  return T.SubmittedAt_ + std::chrono::microseconds(Microseconds);
+}
+
 void conclude(Transfer &T, CURLcode Code) {
   long Status = 0;
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
   T.Reply_.Status_ = classify(T, Code);
   T.Reply_.Code_ = int(Status);
+  long Connections = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_NUM_CONNECTS, &Connections);
+  T.Reply_.Connections_ = unsigned(Connections);
   if (Code != CURLE_OK)
     T.Reply_.Message_ = curl_easy_strerror(Code);
 }
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -326,3 +326,65 @@
       cr_assert(Own.Before_ == Predecessor::MayRun);
     }
 }
+
+// Heartbeats of a whole fleet that starts again were stored before each claim,
+// the large entries waited anew each time, and a small one took the slice.
+Test(claims, a_claim_that_came_too_late_is_repeated_without_another_wait) {
+  Cell C(1);
+  State &S = C.Entries_[0];
+  std::size_t Tries = 0;
+  Milliseconds Wait = S.Options_.ClaimSpread_ + Milliseconds(200);
+  for (TimePoint End = C.Now_ + Wait; C.Now_ < End && S.Owned_.empty();) {
+    C.Now_ += Milliseconds(25);
+    onContact(S, C.Now_, C.Now_);
+    for (const Write &W : tick(S, {"s"}, C.Log_.size(), C.Now_)) {
+      bool Claim = W.Kind_ == Write::Kind::Claim;
+      if (Claim && ++Tries <= 2)
+        C.append({Write::Kind::Beat, {}, makeNode("n9", {"n9.1", "n9:1", 1})});
+      std::size_t Length = C.Log_.size();
+      onWritten(S, W, C.append(W), C.Now_, C.Now_);
+      if (!Claim || C.Log_.size() > Length)
+        continue;
+      // Nothing more has been read yet.
+      for (const Write &Again : tick(S, {"s"}, W.ExpectedEnd_, C.Now_))
+        cr_assert(Again.Kind_ != Write::Kind::Claim);
+    }
+  }
+  cr_assert_eq(Tries, 3u);
+  cr_assert_eq(S.Owned_.count("s"), 1u);
+}
+
+namespace {
+
+/// Entry 0, a small one, has claimed the slice before entry 1 became large.
+void beginWithSmallOwner(Cell &C) {
+  C.Entries_[0].Options_.Cpu_ = 120;
+  C.Entries_[1].Options_.Cpu_ = 1;
+  C.run(Milliseconds(3'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u);
+}
+
+} // namespace
+
+// Guards against SHORT: a small entry took a slice while the large ones were
+// away, can't keep up with it, and keeps it after they are back.
+Test(claims, an_overloaded_small_owner_hands_over_to_a_large_entry) {
+  Cell C(2);
+  beginWithSmallOwner(C);
+  C.Entries_[0].OverloadedSince_ = C.Now_;
+  C.run(Milliseconds(8'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u, "nobody could do better");
+  C.Entries_[1].Options_.Cpu_ = 500;
+  C.run(Milliseconds(8'000));
+  cr_assert(C.Entries_[0].Owned_.empty());
+  cr_assert_eq(C.Entries_[1].Owned_.size(), 1u);
+  cr_assert(C.Entries_[1].Owned_.at("s").Before_ == Predecessor::None);
+}
+
+Test(claims, a_small_owner_that_keeps_up_stays) {
+  Cell C(2);
+  beginWithSmallOwner(C);
+  C.Entries_[1].Options_.Cpu_ = 500;
+  C.run(Milliseconds(12'000));
+  cr_assert_eq(C.Entries_[0].Owned_.size(), 1u);
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -100,8 +100,9 @@
 
 struct Worker {
   WorkerInfo Info_;
-  bool Listed_ = true;    ///< The registry names it.
-  bool Rostered_ = false; ///< A stored roster names it.
+  bool Listed_ = true;     ///< The registry names it.
+  TimePoint UnlistedAt_{}; ///< When the registry dropped it.
+  bool Rostered_ = false;  ///< A stored roster names it.
   /// Draining and empty: it gets no lease and is left out of the roster, so
   /// that no later owner waits for it.
   bool Released_ = false;
@@ -198,10 +199,14 @@
   bool AcksDirty_ = false;
   bool PlaceWanted_ = false; ///< Something changed since the last placement.
   TimePoint PlaceNotBefore_{};
+  TimePoint LeaseCheckDueAt_{};
   TimePoint ExplainDueAt_{};
   TimePoint LossyUntil_{}; ///< Workers' answers got lost a moment ago.
   bool StoreAway_ = false; ///< The owner can't read the store at present.
-  bool Fenced_ = false;    ///< A worker has seen a higher token.
+  /// The store answers, and the owner has not read all that it holds: jobs may
+  /// have been cancelled.
+  bool Behind_ = false;
+  bool Fenced_ = false; ///< A worker has seen a higher token.
   TimePoint LastTick_{};
   TimePoint PausedAt_{};  ///< First turn after the last long pause.
   TimePoint LateUntil_{}; ///< The owner's turns count as late until then.
