The check of a stop under load waits until calls are under way

The load began 0.5 s before the stop by the clock; the busy machine took longer to start it, so the entry refused every call, and a run without a single answer counts as failed. The stop now comes after the first whole answer, with further calls under way.

--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -2,7 +2,8 @@
 """Sends COUNT requests to the entries in PORTS, round robin, and exits 0 only if
 each answer is the whole answer to its own request. With "refusals-ok", clear
 refusals with "not-run" and connections that no entry took are allowed, with
-"killed-ok" broken connections too."""
+"killed-ok" broken connections too. "mark=FILE" creates FILE with the first whole
+answer, when further requests are under way."""
 import concurrent.futures
 import json
 import sys
@@ -43,6 +44,14 @@
 ALLOWED = allowed()
 
 
+MARK = next((a[len("mark="):] for a in sys.argv if a.startswith("mark=")), None)
+
+
+def mark():
+    if MARK:
+        open(MARK, "w").close()
+
+
 def main():
     prefix, count, run_ms = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
     ports = sys.argv[4].split(",")
@@ -52,6 +61,8 @@
     with concurrent.futures.ThreadPoolExecutor(48) as pool:
         for outcome in pool.map(send, jobs):
             tally[outcome] = tally.get(outcome, 0) + 1
+            if outcome == "own":
+                mark()
     print("answers:", tally)
     sys.exit(0 if set(tally) <= ALLOWED and tally.get("own", 0) > 0 else 1)
 
--- a/tools/test_processes.sh
+++ b/tools/test_processes.sh
@@ -107,9 +107,9 @@
 
 step "SIGTERM under load cuts off nothing"
 for round in 1 2 3 4 5 6; do
-  load "f$round" 90 400 "$(port "$round")" refusals-ok >"$cell/load.txt" &
+  load "f$round" 90 400 "$(port "$round")" refusals-ok "mark=$cell/load$round.begun" >"$cell/load.txt" &
   loader=$!
-  sleep 0.5
+  cell_until "calls are under way" "[ -e '$cell/load$round.begun' ]"
   stopping=${pids[e$round]}
   kill -TERM "$stopping"
   wait "$loader" || { cat "$cell/load.txt"; echo "entry $round cut off a call"; exit 1; }
