--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -194,6 +194,8 @@
     Run &R = *T->Run_;
     if (R.InFlight_ || Now < R.RetryAt_)
       continue;
+    // The end of one member of a gang stands for all.
+    R.StopWanted_ = R.StopWanted_ || T->Done_;
     if (!R.StopWanted_) {
       count(S.Counters_, "start-resent");
       Out.Starts_.push_back(makeStart(S, Id, Now));
