--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Milliseconds FenceRetryInterval{200};
-constexpr Milliseconds RewriteInterval{200};
 constexpr Milliseconds LeaseMargin{400};
 constexpr unsigned LinesPerSecond = 50;
 /// Cancellations take effect within 3 s.
@@ -24,7 +23,10 @@
                        Milliseconds SelfFence)
     : Context_(std::move(Context)), Slice_(std::move(Slice)),
       Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence),
-      Lines_(LinesPerSecond) {}
+      Lines_(LinesPerSecond) {
+  // The fence has number 0.
+  Writer_ = {{intake::JobTopic, Partition_}, {Slice_, Claim_.Number_, 1}};
+}
 
 void SliceOwner::lose(const char *Reason) {
   if (Stage_ == Stage::Over)
@@ -112,11 +114,8 @@
     begin();
   if (Stage_ != Stage::Running || !MayOrder)
     return;
-  if (Rewrite_ && now() >= *RewriteAt_) {
-    auto Call = std::move(Rewrite_);
-    Rewrite_.reset();
-    send(std::move(Call));
-  }
+  if (auto Append = ledger::repeatWrite(Writer_, now()))
+    send(std::move(*Append), OpenWrite_);
   State_.StoreAway_ = StoreAway;
   State_.Behind_ =
       ledger::isBehind(Context_.Partition_->Tail_, LongestBehind, now());
@@ -196,7 +195,7 @@
   for (scheduler::AdviceCall &Call : Out.Advice_)
     Context_.Ask_(std::move(Call));
   for (scheduler::WriteCall &Call : Out.Writes_)
-    send(std::make_shared<scheduler::WriteCall>(std::move(Call)));
+    send(ledger::beginWrite(Writer_, std::move(Call.Records_)), Call.Id_);
   for (scheduler::Note &N : Out.Notes_)
     write(N);
 }
@@ -254,45 +253,46 @@
                                     }));
 }
 
-void SliceOwner::send(std::shared_ptr<scheduler::WriteCall> Call) {
-  ledger::AppendCall Append;
-  Append.To_ = {intake::JobTopic, Partition_};
-  Append.Records_ = Call->Records_;
-  Append.Fence_ = ledger::Fence{Slice_, Claim_.Number_, NextSequence_};
-  Context_.Store_->append(std::move(Append), [Self = shared_from_this(), Call](
+void SliceOwner::send(ledger::AppendCall Append, std::uint64_t Write) {
+  Context_.Store_->append(std::move(Append), [Self = shared_from_this(), Write](
                                                  const ledger::AppendReply &R) {
     if (Self->Stage_ == Stage::Running)
-      Self->onWritten(Call, R);
+      Self->onWritten(Write, R);
   });
 }
 
-void SliceOwner::onWritten(const std::shared_ptr<scheduler::WriteCall> &Call,
+void SliceOwner::onWritten(std::uint64_t Write,
                            const ledger::AppendReply &Reply) {
-  switch (Reply.Status_) {
-  case StoreStatus::Done:
-    ++NextSequence_;
-    scheduler::onWrite(State_, Call->Id_, true, now());
+  ledger::Fence Sent = Writer_.Fence_;
+  ledger::WriteOutcome Outcome = ledger::onAppended(Writer_, Reply, now());
+  if (Outcome != ledger::WriteOutcome::Stored)
+    noteUnstored(Sent, Reply);
+  switch (Outcome) {
+  case ledger::WriteOutcome::Stored:
+  case ledger::WriteOutcome::NotStored:
+    scheduler::onWrite(State_, Write, Outcome == ledger::WriteOutcome::Stored,
+                       now());
     break;
-  case StoreStatus::Fenced:
+  case ledger::WriteOutcome::Fenced:
     return lose("a higher claim writes");
-  case StoreStatus::OutOfSequence:
-    observe::log(Level::Warning, "write-out-of-sequence",
-                 {{"slice", Slice_},
-                  {"sent", NextSequence_},
-                  {"expected", Reply.ExpectedSequence_}});
-    // A higher number than sent means that the append was stored.
-    NextSequence_ = Reply.ExpectedSequence_;
-    scheduler::onWrite(State_, Call->Id_, false, now());
-    break;
-  case StoreStatus::NotDone:
-    scheduler::onWrite(State_, Call->Id_, false, now());
-    break;
-  default:
-    // It may be stored: only the same records under the same number may follow.
-    Rewrite_ = Call;
-    RewriteAt_ = now() + RewriteInterval;
+  case ledger::WriteOutcome::Open:
+    OpenWrite_ = Write;
   }
   Context_.Wake_();
 }
 
+void SliceOwner::noteUnstored(const ledger::Fence &Sent,
+                              const ledger::AppendReply &Reply) {
+  scheduler::Note N{"write-not-stored",
+                    {{"slice", Slice_},
+                     {"status", ledger::toString(Reply.Status_)},
+                     {"sent", Sent.Sequence_},
+                     {"next", Writer_.Fence_.Sequence_},
+                     {"records", Writer_.Records_.size()},
+                     {"first", Reply.First_},
+                     {"end", Reply.End_}},
+                    true};
+  write(N);
+}
+
 } // namespace pollenvale::fleet
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -65,9 +65,11 @@
   void send(const scheduler::StartCall &C);
   void send(const scheduler::StopCall &C);
   void send(const scheduler::ThrottleCall &C);
-  void send(std::shared_ptr<scheduler::WriteCall> Call);
-  void onWritten(const std::shared_ptr<scheduler::WriteCall> &Call,
-                 const ledger::AppendReply &Reply);
+  /// \p Write: the scheduler's name of the write that \p Append is for.
+  void send(ledger::AppendCall Append, std::uint64_t Write);
+  void onWritten(std::uint64_t Write, const ledger::AppendReply &Reply);
+  void noteUnstored(const ledger::Fence &Sent,
+                    const ledger::AppendReply &Reply);
   void lose(const char *Reason);
   bool isMine(const JobId &Job) const;
 
@@ -81,9 +83,8 @@
   bool FenceInFlight_ = false;
   TimePoint FenceDueAt_{};
   Offset FenceOffset_ = 0;
-  std::uint64_t NextSequence_ = 1;
-  std::optional<TimePoint> RewriteAt_;
-  std::shared_ptr<scheduler::WriteCall> Rewrite_;
+  ledger::Writer Writer_;
+  std::uint64_t OpenWrite_ = 0; ///< The scheduler's write that is repeated.
   scheduler::State State_;
 };
 
--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -33,6 +33,8 @@
   Forgotten, ///< The records asked for are no longer kept.
 };
 
+std::string_view toString(StoreStatus Status);
+
 /// Exclusive writing: the store refuses lower epochs and repeats no append.
 struct Fence {
   std::string Producer_;
--- a/packages/ledger/ledger.hpp
+++ b/packages/ledger/ledger.hpp
@@ -6,3 +6,4 @@
 #include "ledger/detail/replica.hpp"
 #include "ledger/detail/store.hpp"
 #include "ledger/detail/tail.hpp"
+#include "ledger/detail/writer.hpp"
