A write that may be stored keeps its number: its repetition's refusal frees nothing

Cause: an owner's append (producer, epoch, number 166, 3 records) was stored and its answer lost; its repetition was refused, since the owner was cut off from the store; the owner took that for 'nothing was stored' and sent 200 other records under number 166. The store answers a known number with its first answer: the 200 counted as stored, their ends were acknowledged, and they were announced at offsets 3299 to 3498 of which only three were theirs. Copies that took them passed over the real records there, among them accepted jobs, and called themselves current.

Now a number stands for one set of records until the store has settled it, and an answer must account for as many records as were sent.

Before the change five of the six tests of unit_ledger writer/* fail, the first (a_refused_repetition_does_not_free_the_number_of_the_write) with: S.has("b") && S.has("c") is false. After it all 27 of unit_ledger pass.

--- a/packages/ledger/detail/writer.hpp
+++ b/packages/ledger/detail/writer.hpp
@@ -18,7 +18,7 @@
 
 enum class WriteOutcome {
   Stored,
-  NotStored, ///< The records are to be written anew, under another write.
+  NotStored, ///< The store answered for other records; to be written anew.
   Fenced,    ///< A writer with a higher epoch exists.
   Open       ///< Not known yet; the same write is repeated.
 };
--- a/packages/ledger/src/writer.cpp
+++ b/packages/ledger/src/writer.cpp
@@ -14,6 +14,12 @@
   return Call;
 }
 
+/// Whether \p Reply accounts for as many records as the write has. The store
+/// answers a number that it knows as it did before, whatever records came.
+bool isAnswerTo(const Writer &W, const AppendReply &Reply) {
+  return Reply.End_ == Reply.First_ + W.Records_.size();
+}
+
 } // namespace
 
 std::string_view toString(StoreStatus Status) {
@@ -29,23 +35,29 @@
 }
 
 WriteOutcome onAppended(Writer &W, const AppendReply &Reply, TimePoint Now) {
+  std::uint64_t &Number = W.Fence_.Sequence_;
   switch (Reply.Status_) {
   case StoreStatus::Done:
-    ++W.Fence_.Sequence_;
-    return WriteOutcome::Stored;
+    ++Number;
+    return isAnswerTo(W, Reply) ? WriteOutcome::Stored
+                                : WriteOutcome::NotStored;
   case StoreStatus::Fenced:
     return WriteOutcome::Fenced;
   case StoreStatus::OutOfSequence:
-    // A higher number than sent means that the append was stored.
-    W.Fence_.Sequence_ = Reply.ExpectedSequence_;
-    return WriteOutcome::NotStored;
-  case StoreStatus::NotDone:
-    return WriteOutcome::NotStored;
+    if (Reply.ExpectedSequence_ > Number) {
+      // An earlier sending of this write was stored, if nothing followed it.
+      bool Stored = Reply.ExpectedSequence_ == Number + 1;
+      Number = Reply.ExpectedSequence_;
+      return Stored ? WriteOutcome::Stored : WriteOutcome::NotStored;
+    }
+    break;
   default:
-    // It may be stored: only the same records under the same number may follow.
-    W.RepeatAt_ = Now + RepeatInterval;
-    return WriteOutcome::Open;
+    break;
   }
+  // A refusal says nothing of earlier sendings: until the store has settled a
+  // number, only the same records may go out under it.
+  W.RepeatAt_ = Now + RepeatInterval;
+  return WriteOutcome::Open;
 }
 
 std::optional<AppendCall> repeatWrite(Writer &W, TimePoint Now) {
