A request whose answer was lost no longer counts as refused

Cause: libcurl repeats a request by itself when the reused connection breaks before the first byte of the answer. The outcome of the repetition then stood for the call. The first attempt may have been carried out; the repetition was refused with 503, which counts as "nothing was done", or found no connection, which counts as not sent. A slice owner then wrote other records under the same sequence number. The store took them for a repeat, answered with its first response and stored nothing: ends of tasks counted as stored and were acknowledged, and the next owner knew nothing of them. The owner's copy put those records at the offsets of the first append, so that it could pass over records of others, such as a cancellation.

Evidence before the fix (unit_http): a_failed_repetition_does_not_hide_a_sent_request: status 1, Couldn't connect to server [FAIL] a_refused_repetition_does_not_hide_a_lost_answer: status 0, code 503 [FAIL]

Change: the client ends a call other than a GET when libcurl is about to send it a second time.

--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// HTTP client on one thread of its own. It never repeats a request: what a
-/// broken connection means is the caller's decision.
+/// HTTP client. It repeats no request but a GET: what a broken connection means
+/// is the caller's decision.
 #pragma once
 
 #include <chrono>
@@ -19,9 +19,7 @@
   std::chrono::milliseconds Timeout_{3'000};
   /// Limit of opening a connection, within Timeout_; 0 for none of its own.
   std::chrono::milliseconds ConnectTimeout_{0};
-  /// Uses a connection of its own. libcurl silently repeats a request whose
-  /// reused connection breaks before the first byte of the answer; work that
-  /// must not run twice is therefore sent on a fresh one.
+  /// Uses a connection of its own: none that has broken unnoticed.
   bool Fresh_ = false;
 };
 
--- a/packages/http/detail/transfer.hpp
+++ b/packages/http/detail/transfer.hpp
@@ -16,6 +16,7 @@
   ClientDone Done_;
   ClientReply Reply_;
   curl_slist *Headers_ = nullptr;
+  unsigned Attempts_ = 0; ///< Times that libcurl was about to send it.
   CURL *Easy_ = nullptr;
   curl_socket_t Socket_ = CURL_SOCKET_BAD; ///< Of its connection, if known.
   /// Next limit: of opening the connection or of the whole call.
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -28,6 +28,13 @@
   return Length;
 }
 
+/// libcurl repeats a request whose reused connection breaks before the first
+/// byte of the answer. Its outcome would hide that of the first attempt.
+int onAttempt(void *User, char *, char *, int, int) {
+  bool Repeated = static_cast<Transfer *>(User)->Attempts_++ > 0;
+  return Repeated ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 ClientStatus classify(const Transfer &T, CURLcode Code) {
   switch (Code) {
   case CURLE_OK:
@@ -35,7 +42,7 @@
   case CURLE_COULDNT_RESOLVE_HOST:
   case CURLE_COULDNT_CONNECT:
   case CURLE_URL_MALFORMAT:
-    return ClientStatus::NotSent;
+    return isSent(T) ? ClientStatus::Lost : ClientStatus::NotSent;
   case CURLE_PARTIAL_FILE:
     return ClientStatus::Truncated;
   case CURLE_OPERATION_TIMEDOUT:
@@ -64,6 +71,8 @@
     T.Headers_ =
         curl_slist_append(T.Headers_, "Content-Type: application/json");
     T.Headers_ = curl_slist_append(T.Headers_, "Expect:");
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, onAttempt);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &T);
   }
   for (const std::string &H : Call.Headers_)
     T.Headers_ = curl_slist_append(T.Headers_, H.c_str());
--- /dev/null
+++ b/packages/http/tests/unit-broken-connection.cpp
@@ -0,0 +1,115 @@
+/// The client after a connection that it used before breaks.
+#include "http/http.hpp"
+
+#include <asio.hpp>
+#include <atomic>
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace pollenvale;
+using std::chrono::milliseconds;
+using Socket = asio::ip::tcp::socket;
+
+namespace {
+
+/// Answers a first request, takes a second one on the same connection and
+/// breaks the connection; what comes later is refused.
+class BreakingPeer {
+public:
+  explicit BreakingPeer(bool Listens)
+      : Acceptor_(Io_, {asio::ip::address_v4::loopback(), 0}),
+        Port_(Acceptor_.local_endpoint().port()),
+        Thread_([this, Listens] { serve(Listens); }) {}
+  ~BreakingPeer() {
+    // Ends the wait for a connection that the client has not opened.
+    asio::io_context Io;
+    std::error_code Ignored;
+    Socket(Io).connect({asio::ip::address_v4::loopback(), Port_}, Ignored);
+    Thread_.join();
+  }
+  BreakingPeer(const BreakingPeer &) = delete;
+  BreakingPeer &operator=(const BreakingPeer &) = delete;
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(Port_) + "/";
+  }
+
+  std::atomic<int> Requests_{0};
+
+private:
+  void serve(bool Listens) {
+    Socket S = Acceptor_.accept();
+    takeRequest(S);
+    answer(S, "200 OK");
+    takeRequest(S);
+    if (!Listens)
+      Acceptor_.close();
+    S.set_option(asio::socket_base::linger(true, 0));
+    S.close();
+    if (!Listens)
+      return;
+    Socket Next = Acceptor_.accept();
+    if (takeRequest(Next))
+      answer(Next, "503 Service Unavailable");
+  }
+
+  bool takeRequest(Socket &S) {
+    std::error_code Err;
+    asio::streambuf In;
+    asio::read_until(S, In, "body", Err);
+    Requests_ += !Err;
+    return !Err;
+  }
+
+  static void answer(Socket &S, const std::string &Status) {
+    asio::write(S, asio::buffer("HTTP/1.1 " + Status +
+                                "\r\nContent-Length: 2\r\n\r\n{}"));
+  }
+
+  asio::io_context Io_;
+  asio::ip::tcp::acceptor Acceptor_;
+  std::uint16_t Port_;
+  std::thread Thread_;
+};
+
+http::ClientReply call(asio::io_context &Io, http::Client &C,
+                       const BreakingPeer &P) {
+  http::ClientCall Call;
+  Call.Url_ = P.url();
+  Call.Body_ = "body";
+  http::ClientReply Reply;
+  C.submit(Call, [&](const http::ClientReply &R) {
+    Reply = R;
+    Io.stop();
+  });
+  Io.restart();
+  Io.run_for(milliseconds(10'000));
+  return Reply;
+}
+
+} // namespace
+
+// Guards against TWICE and UNASKED: a request that may have been carried out
+// counts as refused, because a silent repetition of it was.
+Test(broken_connection, a_refused_repetition_does_not_hide_a_lost_answer) {
+  asio::io_context Io;
+  auto Client = http::makeClient(Io);
+  BreakingPeer P(true);
+  cr_assert(call(Io, *Client, P).Status_ == http::ClientStatus::Answered);
+  http::ClientReply R = call(Io, *Client, P);
+  cr_assert(R.Status_ == http::ClientStatus::Lost, "status %d, code %d",
+            int(R.Status_), R.Code_);
+  cr_assert_eq(P.Requests_, 2);
+}
+
+// Guards against the same where the peer takes no connection any more.
+Test(broken_connection, a_failed_repetition_does_not_hide_a_sent_request) {
+  asio::io_context Io;
+  auto Client = http::makeClient(Io);
+  BreakingPeer P(false);
+  cr_assert(call(Io, *Client, P).Status_ == http::ClientStatus::Answered);
+  http::ClientReply R = call(Io, *Client, P);
+  cr_assert(R.Status_ == http::ClientStatus::Lost, "status %d, %s",
+            int(R.Status_), R.Message_.c_str());
+  cr_assert_eq(P.Requests_, 2);
+}
