--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -65,6 +65,7 @@
   std::uint32_t RunCount_ = 0; ///< Tasks with a run.
   bool Ready_ = false;         ///< The steps before it are done.
   TimePoint ReadyAt_{};
+  TimePoint WaitsSince_{}; ///< When the first of the tasks to start came up.
   TimePoint FirstStartAt_{};
   TimePoint LastStartAt_{};
   TimePoint DoneAt_{};
@@ -74,8 +75,9 @@
   bool AdviceInFlight_ = false;
   TimePoint AdviceNotBefore_{};
   std::uint32_t AdviceCalls_ = 0;
-  TimePoint AdviceAskedAt_{};    ///< First call to the policy.
-  TimePoint AdviceAnsweredAt_{}; ///< First answer of the policy.
+  std::uint32_t AdviceUnanswered_ = 0; ///< Calls since the last answer.
+  TimePoint AdviceAskedAt_{};          ///< First call to the policy.
+  TimePoint AdviceAnsweredAt_{};       ///< First answer of the policy.
   std::string GangCheckpoint_;
 };
 
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -424,10 +424,12 @@
   P->AdviceInFlight_ = false;
   S.PlaceWanted_ = true;
   if (!Reply.Answered_) {
+    ++P->AdviceUnanswered_;
     count(S.Counters_, "advice-no-answer");
     P->AdviceNotBefore_ = Now + RetryInterval;
     return;
   }
+  P->AdviceUnanswered_ = 0;
   if (P->AdviceAnsweredAt_ == TimePoint{})
     P->AdviceAnsweredAt_ = Now;
   const Job &J = S.Jobs_.at(Call.Step_.Job_);
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -69,8 +69,10 @@
                P->DoneCount_ + P->RunCount_ < P->Tasks_.size();
   if (!Waits)
     S.Waiting_.erase(Id);
-  else if (S.Waiting_.insert(Id).second)
+  else if (S.Waiting_.insert(Id).second) {
+    P->WaitsSince_ = std::max(P->ReadyAt_, S.LastTick_);
     S.PlaceWanted_ = true;
+  }
 }
 
 void stopRun(State &S, const TaskId &Id) {
