Numbers of calls to other entries begin at random in each process

What callers may see: LOST or UNASKED (an append answered as stored that is in no log, a copy that goes on behind records it has not read), a start taken for answered.

Cause: relay, delegation and advice numbered their calls from 1 in each process. A peer's socket keeps answers for an address and delivers them to the process that starts there next: the answer to call 1 of the process before was taken for the answer to its own call 1, whatever its kind, topic and partition.

Evidence, on the code before: unit-relay.cpp:309: Out == Statuses{StoreStatus::Unknown} is false (the append is answered Done; the log does not hold it) unit-relay.cpp:326: Out[0].Status_ == StoreStatus::Unknown is false (a read of t/1 is answered with records of t/0) unit_delegation, unit_advice: finish(After, number of Before) is found

Change: firstCallId() of base, used by all three.

The harness of unit_relay can start an entry anew and keep frames back; its newest call now follows the mood of the store, as the others did.

--- a/packages/advice/detail/pool.hpp
+++ b/packages/advice/detail/pool.hpp
@@ -29,7 +29,7 @@
   std::map<std::string, Helper> Helpers_;
   std::map<CallId, Pending> InFlight_;
   std::vector<Pending> Queue_;
-  CallId NextId_ = 1;
+  CallId NextId_ = firstCallId();
 };
 
 /// A call to make now by the entry at Helper_.
--- a/packages/advice/tests/unit-pool.cpp
+++ b/packages/advice/tests/unit-pool.cpp
@@ -67,6 +67,17 @@
   cr_assert_not(finish(P, Id, true, T0));
 }
 
+// Guards against permits for another step: the answer to a call of the process
+// before is taken for one to a call of this one.
+Test(peer_replies, a_call_has_not_the_number_of_a_call_of_an_earlier_process) {
+  Pool Before = makePool("a"), After = makePool("a");
+  for (Pool *P : {&Before, &After})
+    enqueue(*P, call(0, 20), T0);
+  dispatch(After, T0);
+  CallId Old = dispatch(Before, T0).at(0).Id_;
+  cr_assert_not(finish(After, Old, true, T0));
+}
+
 Test(pool, messages_are_read_back) {
   RequestMessage Ask{7, "a:1", "job.0.1", {"w1", "w2"}};
   Message M = decode(encode(Ask));
--- a/packages/base/detail/ids.hpp
+++ b/packages/base/detail/ids.hpp
@@ -19,6 +19,9 @@
 /// Fencing token of a control lease; grows with every grant of a worker.
 using Token = std::uint64_t;
 using CallId = std::uint64_t;
+/// Number of the first call of a process; the next ones follow. It is random,
+/// as a peer's answer to an earlier process may come to this one.
+CallId firstCallId();
 
 /// Name part of a node id, stable over restarts.
 inline std::string nodeName(const NodeId &Id) {
--- a/packages/base/src/base.cpp
+++ b/packages/base/src/base.cpp
@@ -1,9 +1,15 @@
 #include "base/base.hpp"
 
 #include <cstdlib>
+#include <random>
 
 namespace pollenvale {
 
+CallId firstCallId() {
+  std::random_device Device;
+  return CallId(Device()) << 32 | Device();
+}
+
 std::string toString(const AttemptId &Id) {
   return Id.Job_ + "/" + std::to_string(Id.Index_) + "/" + Id.Home_ + "/" +
          std::to_string(Id.Number_);
--- a/packages/delegation/detail/pool.hpp
+++ b/packages/delegation/detail/pool.hpp
@@ -33,7 +33,7 @@
   std::map<std::string, TimePoint> Peers_;
   std::map<CallId, Pending> InFlight_;
   std::size_t DirectBytes_ = 0; ///< Payload of own starts not yet answered.
-  CallId NextId_ = 1;
+  CallId NextId_ = firstCallId();
 };
 
 void setPeers(Pool &P, const std::vector<std::string> &Addresses);
--- a/packages/delegation/tests/unit-delegation.cpp
+++ b/packages/delegation/tests/unit-delegation.cpp
@@ -90,6 +90,17 @@
   cr_assert_not(finish(P, Id));
 }
 
+// Guards against TWICE and LOST: the answer to a start of the process before is
+// taken for one to another start.
+Test(peer_replies,
+     a_start_has_not_the_number_of_a_start_of_an_earlier_process) {
+  Pool Before = poolOf(1), After = poolOf(1);
+  for (int I = 0; I < 1'000; ++I)
+    add(After, start(I), "entry-0", T0);
+  for (int I = 0; I < 1'000; ++I)
+    cr_assert_not(finish(After, add(Before, start(I), "entry-0", T0)));
+}
+
 Test(delegation, a_peer_sends_the_start_that_the_owner_made) {
   StartCall Made = start(3);
   RequestMessage M{"owner:1", 4, {makeRow(9, Made)}};
--- a/packages/relay/detail/store.hpp
+++ b/packages/relay/detail/store.hpp
@@ -73,7 +73,7 @@
   RelayPorts Ports_;
   std::list<CallPtr> Direct_;         ///< Waiting for the store's answer.
   std::map<CallId, CallPtr> AtPeers_; ///< Waiting for a peer's answer.
-  CallId NextId_ = 1;
+  CallId NextId_ = firstCallId();
   std::size_t Serving_ = 0; ///< Calls in flight for other entries.
 };
 
--- a/packages/relay/tests/unit-relay.cpp
+++ b/packages/relay/tests/unit-relay.cpp
@@ -23,7 +23,9 @@
 
   void append(AppendCall Call, Done<AppendReply> Done) override;
   void read(ReadCall Call, Done<ReadReply> Done) override;
-  void newest(NewestCall, Done<NewestReply> Done) override { Done({}); }
+  void newest(NewestCall, Done<NewestReply> Done) override {
+    Done({Mood_ == Mood::Serves ? StoreStatus::Done : StoreStatus::Unknown});
+  }
 };
 
 /// Some entries, a log and frames that arrive at once.
@@ -36,37 +38,58 @@
   std::vector<std::string> Suspected_;
   unsigned Ticks_ = 0;
   std::map<std::size_t, std::vector<Offset>> Announced_; ///< By entry.
+  /// Entries whose frames wait in the sockets of their peers, and these frames.
+  std::map<std::size_t, std::vector<std::string>> Queued_;
 
-  explicit Cell(std::size_t Count) {
-    for (std::size_t I = 0; I < Count; ++I) {
+  explicit Cell(std::size_t Count) : Entries_(Count) {
+    for (std::size_t I = 0; I < Count; ++I)
       Stores_.push_back(std::make_unique<EntryStore>(*this));
-      RelayPorts P;
-      P.Direct_ = Stores_.back().get();
-      P.Self_ = std::to_string(I);
-      P.Clock_ = [this] { return Now_; };
-      P.Send_ = [this](const std::string &To, const std::string &Bytes) {
-        auto Entry = std::size_t(std::stoul(To));
-        if (!Deaf_.count(Entry))
-          Entries_[Entry]->onMessage(decode(Bytes));
-        return true;
-      };
-      P.AnnouncedTopic_ = "t";
-      P.OnStored_ = [this, I](std::uint32_t, std::vector<KeyedRecord> Records) {
-        for (const KeyedRecord &R : Records)
-          Announced_[I].push_back(R.Offset_);
-      };
-      P.Suspect_ = [this](const std::string &To) { Suspected_.push_back(To); };
-      Entries_.push_back(std::make_unique<RelayStore>(std::move(P)));
-      std::vector<std::string> Peers;
-      for (std::size_t Peer = 0; Peer < Count; ++Peer)
-        if (Peer != I)
-          Peers.push_back(std::to_string(Peer));
-      setPeers(Entries_.back()->Router_, Peers);
-    }
+    for (std::size_t I = 0; I < Count; ++I)
+      start(I);
     for (std::size_t I = 0; I < Count; ++I)
       readOnce(I);
   }
 
+  /// Starts the process of an entry, in place of a former one.
+  void start(std::size_t I) {
+    RelayPorts P;
+    P.Direct_ = Stores_[I].get();
+    P.Self_ = std::to_string(I);
+    P.Clock_ = [this] { return Now_; };
+    P.Send_ = [this](const std::string &To, const std::string &Bytes) {
+      send(std::size_t(std::stoul(To)), Bytes);
+      return true;
+    };
+    P.AnnouncedTopic_ = "t";
+    P.OnStored_ = [this, I](std::uint32_t, std::vector<KeyedRecord> Records) {
+      for (const KeyedRecord &R : Records)
+        Announced_[I].push_back(R.Offset_);
+    };
+    P.Suspect_ = [this](const std::string &To) { Suspected_.push_back(To); };
+    Entries_[I] = std::make_unique<RelayStore>(std::move(P));
+    std::vector<std::string> Peers;
+    for (std::size_t Peer = 0; Peer < Entries_.size(); ++Peer)
+      if (Peer != I)
+        Peers.push_back(std::to_string(Peer));
+    setPeers(Entries_[I]->Router_, Peers);
+  }
+
+  void send(std::size_t To, const std::string &Bytes) {
+    if (Deaf_.count(To))
+      return;
+    if (auto Queue = Queued_.find(To); Queue != Queued_.end())
+      Queue->second.push_back(Bytes);
+    else
+      Entries_[To]->onMessage(decode(Bytes));
+  }
+
+  /// The frames that wait for the entry arrive.
+  void release(std::size_t To) {
+    auto Frames = Queued_.extract(To);
+    for (const std::string &Bytes : Frames.mapped())
+      Entries_[To]->onMessage(decode(Bytes));
+  }
+
   /// As followers of the store do all the time.
   void readOnce(std::size_t Entry) {
     Entries_[Entry]->read({{"t", 0}, 0}, [](const ReadReply &) {});
@@ -251,3 +274,55 @@
   C.append(0);
   cr_assert(C.Announced_.empty());
 }
+
+namespace {
+
+/// Entry 0 makes \p Call by its peer and ends; the answer waits for the process
+/// that starts at its address, whose own calls get no answer.
+void restartBeforeTheAnswer(Cell &C, std::function<void(RelayStore &)> Call) {
+  C.append();
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  C.Queued_[0];
+  Call(*C.Entries_[0]);
+  C.start(0);
+  C.Deaf_.insert(1);
+  C.Announced_.clear();
+}
+
+} // namespace
+
+// Guards against LOST: a caller is told that its job is stored, and it is in no
+// log.
+Test(peer_replies,
+     a_reply_to_an_earlier_process_is_no_proof_of_a_stored_append) {
+  Cell C(2);
+  restartBeforeTheAnswer(C, [](RelayStore &S) {
+    S.newest({{"other", 3}, {}}, [](const NewestReply &) {});
+  });
+  Statuses Out;
+  C.Entries_[0]->append(
+      {{"t", 0}, {{"job", "v"}}, {}, {}},
+      [&](const AppendReply &R) { Out.push_back(R.Status_); });
+  C.release(0);
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(C.Log_.size(), 1u);
+  cr_assert(Out == Statuses{StoreStatus::Unknown});
+  cr_assert(C.Announced_.empty(), "announced, and stored nowhere");
+}
+
+// Guards against LOST: a copy goes on behind records that it has not read.
+Test(peer_replies, a_reply_to_an_earlier_process_moves_no_copy) {
+  Cell C(2);
+  for (int I = 0; I < 5; ++I)
+    C.append();
+  restartBeforeTheAnswer(C, [](RelayStore &S) {
+    S.read({{"t", 0}, 0}, [](const ReadReply &) {});
+  });
+  std::vector<ReadReply> Out;
+  C.Entries_[0]->read({{"t", 1}, 0}, [&](ReadReply R) { Out.push_back(R); });
+  C.release(0);
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(Out.size(), 1u);
+  cr_assert(Out[0].Status_ == StoreStatus::Unknown);
+  cr_assert_eq(Out[0].Next_, 0u);
+}
