A copy notices records and reads that contradict the store

What callers may see: LOST (410 for an accepted job).

Cause: a delivered record was taken at its offset, and a read's Next_ moved the copy on, without a look at what had been asked for. A record announced under an offset that the store has not reached took the place of the one that the store put there later; the copy lacked it and called itself current.

Change: a record that was delivered before a read was sent lies before the end which that read tells. One that waits beyond it is dropped; one that was taken beyond it, and a read about another place, make the copy load again. All are counted (record-mismatch).

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -273,8 +273,10 @@
          {&Client_.Counters_, &Intake_.Counters_, &Store_.Counters_})
       All.insert(Part->begin(), Part->end());
     Slices_.addCounters(All);
-    for (const auto &[Number, Copy] : Intake_.Partitions_)
+    for (const auto &[Number, Copy] : Intake_.Partitions_) {
       All["record-unreadable"] += Copy.Replica_.Unreadable_;
+      All["record-mismatch"] += Copy.Tail_.Mismatches_;
+    }
     All["record-unreadable"] += Claims_.Unreadable_;
     Loop_.addCounters(All);
     return observe::expose(All) + Loop_.expose();
--- a/packages/ledger/detail/tail.hpp
+++ b/packages/ledger/detail/tail.hpp
@@ -38,6 +38,10 @@
   /// Delivered records whose predecessors are still missing.
   std::map<Offset, KeyedRecord> Ahead_;
   bool Reachable_ = false;
+  Offset ReadFrom_ = 0; ///< Where the last read begins.
+  Offset KnownEnd_ = 0; ///< End that the store had when it was sent.
+  /// Delivered records and reads that contradict what the store holds.
+  std::uint64_t Mismatches_ = 0;
 };
 
 TailStep nextStep(const Tail &T, TimePoint Now);
--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -14,6 +14,32 @@
 /// Beyond the time that a read may wait and the pause after it.
 constexpr Milliseconds StaleMargin{500};
 
+void startOver(Tail &T) {
+  T.Loading_ = true;
+  T.LoadEnd_.reset();
+  T.PageAfter_.clear();
+  T.Ahead_.clear();
+}
+
+/// Whether \p Reply is about records from the place that was asked for.
+bool isFromThere(const Tail &T, const ReadReply &Reply) {
+  Offset Least = T.ReadFrom_;
+  for (const KeyedRecord &R : Reply.Records_) {
+    if (R.Offset_ < Least || R.Offset_ >= Reply.Next_)
+      return false;
+    Least = R.Offset_ + 1;
+  }
+  return Reply.Next_ >= T.ReadFrom_ && Reply.End_ >= T.ReadFrom_;
+}
+
+/// A record that was delivered before the read was sent lies before its end.
+void dropUnstored(Tail &T, Offset End) {
+  if (End >= T.KnownEnd_)
+    return;
+  ++T.Mismatches_;
+  T.Ahead_.erase(T.Ahead_.lower_bound(End), T.Ahead_.lower_bound(T.KnownEnd_));
+}
+
 } // namespace
 
 TailStep nextStep(const Tail &T, TimePoint Now) {
@@ -34,6 +60,9 @@
 void onSent(Tail &T, TimePoint Now) {
   T.InFlight_ = true;
   T.SentAt_ = Now;
+  T.ReadFrom_ = T.KnownEnd_ = T.Next_;
+  if (!T.Ahead_.empty())
+    T.KnownEnd_ = T.Ahead_.rbegin()->first + 1;
 }
 
 bool onNewest(Tail &T, const NewestReply &Reply, TimePoint Now) {
@@ -64,10 +93,7 @@
   T.Reachable_ = Reply.Status_ == StoreStatus::Done ||
                  Reply.Status_ == StoreStatus::Forgotten;
   if (Reply.Status_ == StoreStatus::Forgotten) {
-    T.Loading_ = true;
-    T.LoadEnd_.reset();
-    T.PageAfter_.clear();
-    T.Ahead_.clear();
+    startOver(T);
     return;
   }
   if (Reply.Status_ != StoreStatus::Done) {
@@ -75,6 +101,13 @@
     return;
   }
   T.AnsweredAt_ = Now;
+  if (!isFromThere(T, Reply)) {
+    ++T.Mismatches_;
+    startOver(T);
+    T.NotBefore_ = Now + RetryInterval;
+    return;
+  }
+  dropUnstored(T, Reply.End_);
   T.Next_ = std::max(T.Next_, Reply.Next_);
   if (T.Next_ >= Reply.End_)
     T.CurrentAt_ = std::max(T.CurrentAt_, T.SentAt_);
