A reply to a call of the store says what it answers, and another is refused

The number alone tied a reply to a call.

Change: the reply repeats kind, topic, partition and place of the call. One that differs is counted (relay-reply-refused) and left aside; the call goes on waiting. Replies without a call are counted too (relay-reply-unexpected: late ones, and those to an earlier process).

Evidence: with the fields and without the check, unit_relay 16/17: (Out.size()) == (Case == 3 ? 1u : 0u) is false With it 17/17.

--- a/packages/relay/detail/messages.hpp
+++ b/packages/relay/detail/messages.hpp
@@ -47,8 +47,14 @@
   Offset Next_ = 0;
   std::uint64_t ExpectedSequence_ = 0;
   bool More_ = false;
+  /// What it answers.
+  int Kind_ = 0;
+  std::string Topic_;
+  std::uint32_t Partition_ = 0;
+  Offset From_ = 0;
+  std::string AfterKey_;
   MSGPACK_DEFINE(Id_, Status_, Rows_, First_, End_, Next_, ExpectedSequence_,
-                 More_)
+                 More_, Kind_, Topic_, Partition_, From_, AfterKey_)
 };
 
 /// Records that its writer knows to be stored.
@@ -76,6 +82,10 @@
 ledger::ReadCall readCall(const RequestMessage &M);
 ledger::NewestCall newestCall(const RequestMessage &M);
 
+/// Says in \p Reply that it answers \p Asked.
+void address(ReplyMessage &Reply, const RequestMessage &Asked);
+bool isAnswerTo(const ReplyMessage &Reply, const RequestMessage &Asked);
+
 ReplyMessage makeReply(CallId Id, const ledger::AppendReply &R);
 ReplyMessage makeReply(CallId Id, ledger::ReadReply R);
 ReplyMessage makeReply(CallId Id, ledger::NewestReply R);
--- a/packages/relay/detail/store.hpp
+++ b/packages/relay/detail/store.hpp
@@ -67,7 +67,7 @@
   /// Passes on what an append has stored, so that the others need not read it.
   void announce(const CallPtr &C, const ReplyMessage &Reply);
   void serve(RequestMessage M);
-  void reply(const std::string &Address, ReplyMessage M);
+  void reply(const RequestMessage &Asked, ReplyMessage M);
   template <class Handle> void callDirect(const RequestMessage &M, Handle Done);
 
   RelayPorts Ports_;
--- a/packages/relay/src/messages.cpp
+++ b/packages/relay/src/messages.cpp
@@ -111,6 +111,21 @@
   return {{M.Topic_, M.Partition_}, M.AfterKey_, Milliseconds(M.TimeoutMs_)};
 }
 
+void address(ReplyMessage &Reply, const RequestMessage &Asked) {
+  Reply.Id_ = Asked.Id_;
+  Reply.Kind_ = Asked.Kind_;
+  Reply.Topic_ = Asked.Topic_;
+  Reply.Partition_ = Asked.Partition_;
+  Reply.From_ = Asked.From_;
+  Reply.AfterKey_ = Asked.AfterKey_;
+}
+
+bool isAnswerTo(const ReplyMessage &Reply, const RequestMessage &Asked) {
+  return Reply.Kind_ == Asked.Kind_ && Reply.Topic_ == Asked.Topic_ &&
+         Reply.Partition_ == Asked.Partition_ && Reply.From_ == Asked.From_ &&
+         Reply.AfterKey_ == Asked.AfterKey_;
+}
+
 ReplyMessage makeReply(CallId Id, const AppendReply &R) {
   ReplyMessage M{Id, int(R.Status_)};
   M.First_ = R.First_;
--- a/packages/relay/src/store.cpp
+++ b/packages/relay/src/store.cpp
@@ -154,8 +154,10 @@
 void RelayStore::onReply(const ReplyMessage &M) {
   auto It = AtPeers_.find(M.Id_);
   if (It == AtPeers_.end())
-    return;
+    return count(Counters_, "relay-reply-unexpected");
   CallPtr C = It->second;
+  if (!isAnswerTo(M, C->Request_))
+    return count(Counters_, "relay-reply-refused");
   AtPeers_.erase(It);
   C->AtPeer_ = false;
   auto Status = StoreStatus(M.Status_);
@@ -228,22 +230,23 @@
   if (!Known || Serving_ >= MaxServing ||
       !mayServe(Router_, Partition, Ports_.Clock_())) {
     count(Counters_, "relay-refused");
-    return reply(M.ReplyTo_, {M.Id_, int(StoreStatus::NotDone)});
+    return reply(M, {M.Id_, int(StoreStatus::NotDone)});
   }
   count(Counters_, "relay-served");
   ++Serving_;
-  callDirect(
-      M, [this, Id = M.Id_, To = M.ReplyTo_, Partition](ReplyMessage Reply) {
-        --Serving_;
-        relay::onDirect(Router_, Partition, StoreStatus(Reply.Status_),
-                        Ports_.Clock_());
-        Reply.Id_ = Id;
-        reply(To, std::move(Reply));
-      });
+  RequestMessage Asked = M;
+  Asked.Rows_.clear();
+  callDirect(M, [this, Asked, Partition](ReplyMessage Reply) {
+    --Serving_;
+    relay::onDirect(Router_, Partition, StoreStatus(Reply.Status_),
+                    Ports_.Clock_());
+    reply(Asked, std::move(Reply));
+  });
 }
 
-void RelayStore::reply(const std::string &Address, ReplyMessage M) {
-  if (!Ports_.Send_(Address, encode(M)))
+void RelayStore::reply(const RequestMessage &Asked, ReplyMessage M) {
+  address(M, Asked);
+  if (!Ports_.Send_(Asked.ReplyTo_, encode(M)))
     count(Counters_, "relay-frame-dropped");
 }
 
--- a/packages/relay/tests/unit-relay.cpp
+++ b/packages/relay/tests/unit-relay.cpp
@@ -326,3 +326,28 @@
   cr_assert(Out[0].Status_ == StoreStatus::Unknown);
   cr_assert_eq(Out[0].Next_, 0u);
 }
+
+// Guards against LOST: an answer about another call tells that an append is
+// stored.
+Test(peer_replies, a_reply_that_says_another_partition_or_kind_is_refused) {
+  for (int Case = 0; Case < 4; ++Case) {
+    Cell C(2);
+    C.Stores_[0]->Mood_ = Mood::Refuses;
+    C.Queued_[1];
+    Statuses Out;
+    AppendCall Call{{"t", 0}, {{"k", "v"}}, {}, {}};
+    C.Entries_[0]->append(
+        Call, [&](const AppendReply &R) { Out.push_back(R.Status_); });
+    Message Sent = decode(C.Queued_[1].at(0));
+    const auto &Asked = std::get<RequestMessage>(Sent);
+    ReplyMessage Reply = makeReply(Asked.Id_, AppendReply{StoreStatus::Done});
+    address(Reply, Asked);
+    Reply.Partition_ += Case == 0;
+    Reply.Kind_ += Case == 1;
+    Reply.Topic_ += Case == 2 ? "x" : "";
+    C.Entries_[0]->onMessage(decode(encode(Reply)));
+    cr_assert_eq(Out.size(), Case == 3 ? 1u : 0u);
+    cr_assert_eq(C.Entries_[0]->Counters_["relay-reply-refused"],
+                 Case == 3 ? 0u : 1u);
+  }
+}
