--- a/packages/relay/detail/store.hpp
+++ b/packages/relay/detail/store.hpp
@@ -67,13 +67,13 @@
   /// Passes on what an append has stored, so that the others need not read it.
   void announce(const CallPtr &C, const ReplyMessage &Reply);
   void serve(RequestMessage M);
-  void reply(const std::string &Address, ReplyMessage M);
+  void reply(const RequestMessage &Asked, ReplyMessage M);
   template <class Handle> void callDirect(const RequestMessage &M, Handle Done);
 
   RelayPorts Ports_;
   std::list<CallPtr> Direct_;         ///< Waiting for the store's answer.
   std::map<CallId, CallPtr> AtPeers_; ///< Waiting for a peer's answer.
-  CallId NextId_ = 1;
+  CallId NextId_ = firstCallId();
   std::size_t Serving_ = 0; ///< Calls in flight for other entries.
 };
 
