A service task that is down goes first, however old its job is

Cause: what waits, for workers and for the placement policy, is ordered by its job's objective, counted once from the acceptance, and goes last from three objectives on, as worth nothing. A job that lasts is past that point 7.5 s after it came, for the rest of its life. While the policy has more long calls than its entries can make, its calls are never made: they leave the queue after 3 s, are put again, and so on. The owner that took over is not the cause: it knew where every inherited task was 0.4 s after its claim.

Change: the objective of a long-running step begins anew whenever a task of it comes up, and once that is over the step goes before all others, for workers and for the policy alike (Standing, in one place for both). It has one call at a time and, after its permits, nothing to ask, so what it takes from the others is bounded. Only the order changes; when a task may start, what is waited for at a take-over and the fences stay as they are.

The test harness can run the owner's policy calls through the pool.

--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -78,8 +78,9 @@
 /// The same order as that of waiting steps.
 auto keyOf(const Pending &X, TimePoint Now) {
   const AdviceCall &C = X.Call_;
-  return std::tuple(Now > C.WorthlessAt_, Now > C.DueAt_, C.Priority_,
-                    C.DueAt_);
+  return std::tuple(
+      scheduler::standing(C.LongRunning_, C.DueAt_, C.WorthlessAt_, Now),
+      C.Priority_, C.DueAt_);
 }
 
 /// Places in the queue, the most urgent call first.
--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -66,13 +66,25 @@
   unsigned Percent_ = 100;
 };
 
+/// How a step that waits stands to its objective; the first goes first.
+enum class Standing {
+  ServiceDown, ///< Tasks of a service are down for longer than its objective.
+  InTime,
+  Late,
+  Worthless,
+};
+
+Standing standing(bool LongRunning, TimePoint DueAt, TimePoint WorthlessAt,
+                  TimePoint Now);
+
 /// Asks the placement policy which of the workers may run a step.
 struct AdviceCall {
   StepId Step_;
   std::vector<WorkerId> Workers_;
   int Priority_ = 0;
-  TimePoint DueAt_{};        ///< End of the job's objective.
+  TimePoint DueAt_{};        ///< End of the objective.
   TimePoint WorthlessAt_{};  ///< The job is worth nothing after this time.
+  bool LongRunning_ = false; ///< A service: it is worth something at any time.
   Milliseconds Expected_{0}; ///< How long the policy takes.
 };
 
--- a/packages/scheduler/detail/placing.hpp
+++ b/packages/scheduler/detail/placing.hpp
@@ -9,20 +9,24 @@
 
 /// Place of a waiting step in the order; smaller goes first.
 struct WaitKey {
-  bool Expired_ = false; ///< Past the time in which it is worth anything.
-  bool Overdue_ = false; ///< Past its objective.
+  Standing Standing_ = Standing::InTime;
   int Priority_ = 0;
   TimePoint DueAt_{};
   TimePoint AcceptedAt_{};
 
   auto key() const {
-    return std::tie(Expired_, Overdue_, Priority_, DueAt_, AcceptedAt_);
+    return std::tie(Standing_, Priority_, DueAt_, AcceptedAt_);
   }
   bool operator<(const WaitKey &O) const { return key() < O.key(); }
   bool operator==(const WaitKey &O) const { return key() == O.key(); }
 };
 
-WaitKey waitKey(const Job &J, const Step &P, TimePoint Now);
+/// End of the objective of a step that waits. That of a service begins anew
+/// each time that a task of it comes up.
+TimePoint dueAt(const Job &J, const workflow::StepSpec &Spec, const Step &P);
+
+WaitKey waitKey(const Job &J, const workflow::StepSpec &Spec, const Step &P,
+                TimePoint Now);
 
 /// A worker that could take a task of the step.
 struct Candidate {
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -65,8 +65,8 @@
       continue;
     Step &P = J.Open_.at(Id.Occurrence_).Steps_[Id.Step_];
     const workflow::StepSpec &Spec = J.Spec_.Steps_[Id.Step_];
-    Out.push_back(
-        {waitKey(J, P, Now), Id, &J, &P, &Spec, workflow::chargedSize(Spec)});
+    Out.push_back({waitKey(J, Spec, P, Now), Id, &J, &P, &Spec,
+                   workflow::chargedSize(Spec)});
   }
   std::sort(Out.begin(), Out.end(),
             [](const WaitingStep &A, const WaitingStep &B) {
@@ -296,8 +296,9 @@
   if (Call.Workers_.empty())
     return;
   Call.Priority_ = J.Queue_.Priority_;
-  Call.DueAt_ = J.DueAt_;
+  Call.DueAt_ = dueAt(J, *W.Spec_, P);
   Call.WorthlessAt_ = worthlessAt(J);
+  Call.LongRunning_ = W.Spec_->LongRunning_;
   Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
                                              J.Queue_.Advice_->PerWorkerMs_ *
                                                  double(Call.Workers_.size())));
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -3,6 +3,19 @@
 #include <algorithm>
 #include <limits>
 
+namespace pollenvale::scheduler {
+
+Standing standing(bool LongRunning, TimePoint DueAt, TimePoint WorthlessAt,
+                  TimePoint Now) {
+  if (LongRunning)
+    return Now > DueAt ? Standing::ServiceDown : Standing::InTime;
+  if (Now > WorthlessAt)
+    return Standing::Worthless;
+  return Now > DueAt ? Standing::Late : Standing::InTime;
+}
+
+} // namespace pollenvale::scheduler
+
 namespace pollenvale::scheduler::detail {
 
 namespace {
@@ -44,12 +57,17 @@
   return J.AcceptedAt_ + (J.DueAt_ - J.AcceptedAt_) * WorthlessAfter;
 }
 
-WaitKey waitKey(const Job &J, const Step &, TimePoint Now) {
+TimePoint dueAt(const Job &J, const workflow::StepSpec &Spec, const Step &P) {
+  return Spec.LongRunning_ ? P.WaitsSince_ + (J.DueAt_ - J.AcceptedAt_)
+                           : J.DueAt_;
+}
+
+WaitKey waitKey(const Job &J, const workflow::StepSpec &Spec, const Step &P,
+                TimePoint Now) {
   WaitKey Key;
-  Key.Overdue_ = Now > J.DueAt_;
-  Key.Expired_ = Now > worthlessAt(J);
+  Key.DueAt_ = dueAt(J, Spec, P);
+  Key.Standing_ = standing(Spec.LongRunning_, Key.DueAt_, worthlessAt(J), Now);
   Key.Priority_ = J.Queue_.Priority_;
-  Key.DueAt_ = J.DueAt_;
   Key.AcceptedAt_ = J.AcceptedAt_;
   return Key;
 }
--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -114,3 +114,62 @@
   cr_assert(Runs);
   cr_assert(C.Broken_.empty());
 }
+
+namespace {
+
+/// A service whose worker fails long after the job was accepted, while the
+/// policy, which must allow each start, is asked for more short jobs than it
+/// can answer.
+struct BusyPolicy : FleetCell {
+  BusyPolicy() : FleetCell({"a", "b", "c"}) {
+    workflow::Queue Advised = Catalog_.Queues_[0];
+    Advised.Advice_ = workflow::AdvicePolicy{200, 1, 2'000};
+    Advised.Name_ = "short";
+    addQueue(Advised);
+    Advised.Name_ = "services";
+    Advised.Priority_ = 1;
+    addQueue(Advised);
+    Policy_ = advice::makePool("entry");
+    takeOver();
+    FateOf_ = [](const TaskId &Id, std::uint32_t Run) {
+      if (Id.Step_.Job_ == "serve" && Run == 1)
+        return Fate{Milliseconds(15'000), EndKind::Failed};
+      return Fate{Milliseconds(Id.Step_.Job_ == "serve" ? 90'000 : 100)};
+    };
+    workflow::StepSpec Serve = plainStep(2);
+    Serve.LongRunning_ = true;
+    submitTo("services", "serve", plainJob({Serve}));
+  }
+
+  /// Ten short jobs a second.
+  void runBusy(Milliseconds Time) {
+    constexpr Milliseconds Gap{100};
+    for (Milliseconds Passed{0}; Passed < Time; Passed += Gap) {
+      submitTo("short", "j" + std::to_string(++Short_),
+               plainJob({plainStep(1)}));
+      run(Gap);
+    }
+  }
+
+  bool serves() const {
+    return !whereIs({{"serve", 0, 0}, 0}).empty() &&
+           !whereIs({{"serve", 0, 0}, 1}).empty();
+  }
+
+  int Short_ = 0;
+};
+
+} // namespace
+
+// Guards against LOST: a task that lasts was the last to be placed once its job
+// was three objectives old, and stayed away while workers were free.
+Test(services, an_old_service_task_comes_back_while_the_policy_is_busy) {
+  BusyPolicy C;
+  C.run(Milliseconds(10'000));
+  cr_assert(C.serves());
+  C.runBusy(Milliseconds(6'000));
+  cr_assert_not(C.serves(), "both runs have failed");
+  C.runBusy(Milliseconds(4'000));
+  cr_assert(C.serves());
+  cr_assert(C.Broken_.empty());
+}
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -233,6 +233,8 @@
   }
   scheduler::tick(O.State_, Now_, 0, Out);
   perform(O, Out);
+  if (Policy_)
+    turnPolicy(O);
 }
 
 void FleetCell::perform(Owner &O, scheduler::Outbox &Out) {
@@ -348,18 +350,35 @@
   });
 }
 
-void FleetCell::send(Owner &O, const scheduler::AdviceCall &C) {
-  ++AdviceCalls_;
+scheduler::AdviceReply FleetCell::advise(const scheduler::AdviceCall &C) const {
   scheduler::AdviceReply Reply{true, {}, Milliseconds(2'000)};
   for (const WorkerId &W : C.Workers_)
     if (Allows_(W))
       Reply.Rows_.push_back({W, "permit-" + W});
+  return Reply;
+}
+
+void FleetCell::send(Owner &O, const scheduler::AdviceCall &C) {
+  ++AdviceCalls_;
+  if (Policy_)
+    return advice::enqueue(*Policy_, C, Now_);
+  scheduler::AdviceReply Reply = advise(C);
   at(Now_ + Milliseconds(20), [=, this, &O] {
     if (!isDown(O))
       scheduler::onAdvice(O.State_, C, Reply, Now_);
   });
 }
 
+void FleetCell::turnPolicy(Owner &O) {
+  for (const advice::Expired &X : advice::expire(*Policy_, Now_))
+    scheduler::onAdvice(O.State_, X.Call_, {}, Now_);
+  for (const advice::Dispatch &D : advice::dispatch(*Policy_, Now_))
+    at(Now_ + D.Call_.Expected_, [=, this, &O] {
+      if (auto Call = advice::finish(*Policy_, D.Id_, true, Now_))
+        scheduler::onAdvice(O.State_, *Call, advise(*Call), Now_);
+    });
+}
+
 void FleetCell::send(Owner &O, const scheduler::WriteCall &C) {
   at(Now_ + AppendTime, [=, this, &O] {
     bool Reaches = !StoreDown_ && !O.CutFromStore_;
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -4,6 +4,7 @@
 /// always hold.
 #pragma once
 
+#include "advice/advice.hpp"
 #include "fleet/fake_worker.hpp"
 #include "ledger/ledger.hpp"
 #include "ownership/ownership.hpp"
@@ -116,6 +117,9 @@
   std::vector<std::string> Trace_;     ///< What happened, for a reader.
   std::vector<std::string> Broken_;    ///< Rules broken so far.
   std::uint64_t AdviceCalls_ = 0;
+  /// With one, calls to the policy wait for an entry and take their time; by
+  /// default each is answered after 20 ms. Of one owner only.
+  std::optional<advice::Pool> Policy_;
   /// Answer of the policy; by default it allows every worker.
   std::function<bool(const WorkerId &)> Allows_ = [](const WorkerId &) {
     return true;
@@ -137,6 +141,10 @@
   void send(Owner &O, const scheduler::StopCall &C);
   void send(Owner &O, const scheduler::AdviceCall &C);
   void send(Owner &O, const scheduler::WriteCall &C);
+  scheduler::AdviceReply advise(const scheduler::AdviceCall &C) const;
+  /// Tells the owner of calls to the policy that were given up, and makes those
+  /// that an entry has time for.
+  void turnPolicy(Owner &O);
   /// Hands an answer of a worker to the owner, or tells it that there is none:
   /// \p Take is called with whether the owner read it within the call's limit.
   void answer(Owner &O, const scheduler::Target &To, TimePoint SentAt,
