--- a/packages/advice/tests/unit-order.cpp
+++ b/packages/advice/tests/unit-order.cpp
@@ -66,3 +66,27 @@
   auto First = dispatch(P, T0);
   cr_assert_eq(First.at(0).Call_.Step_.Step_, 1u);
 }
+
+// Guards against LOST: calls for a service that is down came after all others
+// once its objective was over, and were never made by a busy owner.
+Test(order, a_service_that_is_down_goes_before_what_can_be_in_time) {
+  Pool P = makePool("a");
+  auto Enqueue = [&](std::uint32_t Step, bool LongRunning, Milliseconds Due) {
+    AdviceCall C;
+    C.Step_.Step_ = Step;
+    C.Priority_ = LongRunning ? 1 : 0;
+    C.Expected_ = CallTime;
+    C.DueAt_ = T0 + Due;
+    C.WorthlessAt_ = C.DueAt_;
+    C.LongRunning_ = LongRunning;
+    enqueue(P, C, T0);
+  };
+  Enqueue(0, false, Milliseconds(500));
+  Enqueue(1, true, Milliseconds(500));
+  auto First = dispatch(P, T0);
+  cr_assert_eq(First.at(0).Call_.Step_.Step_, 0u, "not down for long yet");
+  finish(P, First.at(0).Id_, true, T0 + CallTime);
+  Enqueue(2, false, Milliseconds(900));
+  auto Next = dispatch(P, T0 + Milliseconds(600));
+  cr_assert_eq(Next.at(0).Call_.Step_.Step_, 1u);
+}
--- a/packages/scheduler/tests/unit-trace.cpp
+++ b/packages/scheduler/tests/unit-trace.cpp
@@ -92,3 +92,43 @@
                    All.at("renewal-no-answer-1000ms") +
                    All.at("renewal-no-answer-2000ms"));
 }
+
+Test(trace, a_step_that_waits_tells_of_unanswered_policy_calls) {
+  FleetCell C({"a"});
+  C.Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{200, 1, 2'000};
+  C.Policy_ = advice::makePool("entry");
+  // A helper that answers nobody keeps every call until it is given up.
+  C.Policy_->Helpers_["entry"].Backlog_ = Milliseconds(60'000);
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  C.run(Milliseconds(10'000));
+  std::vector<Note> Waits = notesOf(C, "step-waits");
+  cr_assert_not(Waits.empty());
+  const nlohmann::json &F = Waits.back().Fields_;
+  cr_assert_geq(F["advice_unanswered"].get<int>(), 2);
+  cr_assert_geq(F["advice_calls"].get<int>(),
+                F["advice_unanswered"].get<int>());
+  cr_assert_geq(F["waits_ms"].get<int>(), 4'000);
+  cr_assert(F["workers_allowed"] == 0);
+  cr_assert(F["workers_denied"] == 0);
+}
+
+Test(trace, the_longest_waits_are_told_of) {
+  FleetCell C({"a"});
+  C.takeOver();
+  // No worker is large enough; the first names come last.
+  workflow::StepSpec Huge = plainStep(1);
+  Huge.Size_.Cpu_ = 90'000;
+  for (char Name = 'j'; Name >= 'a'; --Name) {
+    C.submit(std::string(1, Name), plainJob({Huge}));
+    C.run(Milliseconds(500));
+  }
+  C.run(Milliseconds(8'000));
+  std::vector<Note> Waits = notesOf(C, "step-waits");
+  cr_assert_geq(Waits.size(), 4u);
+  std::vector<std::string> Last;
+  for (auto It = Waits.end() - 4; It != Waits.end(); ++It)
+    Last.push_back(It->Fields_["step"]);
+  cr_assert(Last ==
+            std::vector<std::string>({"j.0.0", "i.0.0", "h.0.0", "g.0.0"}));
+}
