--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -1,6 +1,7 @@
 /// Service tasks: restarted however they end, and best-effort tasks throttled
 /// beside them.
 #include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/placing.hpp"
 
 #include <criterion/criterion.h>
 
@@ -173,3 +174,27 @@
   cr_assert(C.serves());
   cr_assert(C.Broken_.empty());
 }
+
+// Guards against LOST: a task that lasts was behind all others for room on
+// workers once its job was three objectives old.
+Test(services, an_old_service_that_is_down_goes_before_new_jobs) {
+  constexpr TimePoint T0{std::chrono::seconds(1'000)};
+  using scheduler::detail::waitKey;
+  workflow::StepSpec Serve = plainStep(1);
+  Serve.LongRunning_ = true;
+  scheduler::Job Old;
+  Old.AcceptedAt_ = T0 - Milliseconds(60'000);
+  Old.DueAt_ = Old.AcceptedAt_ + Milliseconds(2'500);
+  Old.Queue_.Priority_ = 1;
+  scheduler::Step Down;
+  Down.WaitsSince_ = T0;
+  scheduler::Job New;
+  New.AcceptedAt_ = T0;
+  New.DueAt_ = T0 + Milliseconds(9'000);
+  auto GoesFirst = [&](Milliseconds After) {
+    TimePoint Now = T0 + After;
+    return waitKey(Old, Serve, Down, Now) < waitKey(New, plainStep(1), {}, Now);
+  };
+  cr_assert_not(GoesFirst(Milliseconds(1'000)), "its priority is lower");
+  cr_assert(GoesFirst(Milliseconds(3'000)));
+}
