--- a/apps/pollenvale/fleet/worker_registry.cpp
+++ b/apps/pollenvale/fleet/worker_registry.cpp
@@ -1,5 +1,7 @@
 #include "fleet/worker_registry.hpp"
 
+#include "fleet/clock.hpp"
+
 namespace pollenvale::fleet {
 
 namespace {
@@ -47,11 +49,27 @@
     return remove(R.Key_);
   auto Info = platform::parseWorker(R.Key_, R.Value_);
   if (!Info) {
-    count(Counters_, "worker-unreadable");
+    logUnreadable(R, Info.error());
     return remove(R.Key_);
   }
-  Workers_[R.Key_] = *Info;
-  Events_.OnWorker_(*Info);
+  Workers_[R.Key_] = Info.value();
+  Events_.OnWorker_(Info.value());
+}
+
+void WorkerRegistry::logUnreadable(const ledger::KeyedRecord &R,
+                                   const Error &Why) {
+  constexpr std::size_t ShownBytes = 64;
+  count(Counters_, "worker-unreadable");
+  std::optional<std::uint64_t> LeftOut =
+      Lines_.admit("worker-unreadable", now());
+  if (!LeftOut)
+    return count(Counters_, "line-left-out");
+  observe::log(observe::Level::Warning, "worker-unreadable",
+               {{"worker", R.Key_.substr(0, ShownBytes)},
+                {"offset", R.Offset_},
+                {"bytes", R.Value_.size()},
+                {"message", Why.Message_},
+                {"left_out", *LeftOut}});
 }
 
 void WorkerRegistry::onLoaded(const std::set<std::string> &Keys) {
--- a/apps/pollenvale/fleet/worker_registry.hpp
+++ b/apps/pollenvale/fleet/worker_registry.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "fleet/follower.hpp"
+#include "observe/observe.hpp"
 #include "platform/adapter.hpp"
 
 #include <map>
@@ -36,6 +37,8 @@
   void onRecord(const ledger::KeyedRecord &R);
   void onLoaded(const std::set<std::string> &Keys);
   void remove(const WorkerId &Id);
+  /// Counts an entry that names no worker, and tells it in the log.
+  void logUnreadable(const ledger::KeyedRecord &R, const Error &Why);
 
   ledger::Store &Store_;
   Counters &Counters_;
@@ -44,6 +47,7 @@
   std::shared_ptr<Follower> Follower_;
   std::map<WorkerId, scheduler::WorkerInfo> Workers_;
   bool Loaded_ = false;
+  observe::LineLimit Lines_{3};
 };
 
 } // namespace pollenvale::fleet
