A load of newest records goes on past a page without a readable one

What could happen: a page of the newest records whose items can't be read ended the load although the store had more: every key after it was taken for gone.

Change: a page tells its last key even if that record can't be read. A page that has more but tells no other key is asked for again after a pause; it neither ends the load nor is asked for without end at once.

--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -86,6 +86,9 @@
   std::vector<KeyedRecord> Records_;
   bool More_ = false;
   Offset End_ = 0;
+  /// Last key of the page, if that of a record which can't be read; empty for
+  /// that of the last one in Records_.
+  std::string LastKey_ = {};
 };
 
 template <class T> using Done = std::function<void(T)>;
--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -36,9 +36,23 @@
   T.SentAt_ = Now;
 }
 
+namespace {
+
+/// Key after which the page that follows \p Reply begins.
+const std::string &lastKey(const NewestReply &Reply) {
+  if (Reply.LastKey_.empty() && !Reply.Records_.empty())
+    return Reply.Records_.back().Key_;
+  return Reply.LastKey_;
+}
+
+} // namespace
+
 bool onNewest(Tail &T, const NewestReply &Reply, TimePoint Now) {
   T.InFlight_ = false;
-  T.Reachable_ = Reply.Status_ == StoreStatus::Done;
+  // A page that tells no other key to go on after leads nowhere.
+  bool Leads = !Reply.More_ ||
+               (!lastKey(Reply).empty() && lastKey(Reply) != T.PageAfter_);
+  T.Reachable_ = Reply.Status_ == StoreStatus::Done && Leads;
   if (!T.Reachable_) {
     T.NotBefore_ = Now + RetryInterval;
     return false;
@@ -47,8 +61,8 @@
   // Pages are no snapshot: reading goes on from the end as of the first one.
   if (!T.LoadEnd_)
     T.LoadEnd_ = Reply.End_;
-  if (Reply.More_ && !Reply.Records_.empty()) {
-    T.PageAfter_ = Reply.Records_.back().Key_;
+  if (Reply.More_) {
+    T.PageAfter_ = lastKey(Reply);
     return false;
   }
   T.Next_ = *T.LoadEnd_;
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -41,6 +41,36 @@
   cr_assert(nextStep(T, T0) == TailStep::Read);
 }
 
+// Guards against LOST: a page without a readable record ended the load, and the
+// keys after it were taken for gone.
+Test(tail, a_page_without_a_readable_record_does_not_end_a_load) {
+  Tail T;
+  NewestReply Odd = page(7, true);
+  Odd.Records_.clear();
+  Odd.LastKey_ = "c";
+  cr_assert_not(onNewest(T, Odd, T0));
+  cr_assert_eq(T.PageAfter_, "c");
+  cr_assert(nextStep(T, T0) == TailStep::Newest);
+  cr_assert(onNewest(T, page(7, false), T0));
+}
+
+// Guards against a load that asks for the same page again and again.
+Test(tail, a_page_that_leads_nowhere_is_asked_for_again_after_a_pause) {
+  for (const char *LastKey : {"", "c"}) {
+    Tail T;
+    T.PageAfter_ = "c";
+    NewestReply Odd = page(7, true);
+    Odd.Records_.clear();
+    Odd.LastKey_ = LastKey;
+    cr_assert_not(onNewest(T, Odd, T0));
+    cr_assert_eq(T.PageAfter_, "c");
+    cr_assert_not(T.Loaded_);
+    cr_assert_not(T.Reachable_);
+    cr_assert(nextStep(T, T0) == TailStep::Idle);
+    cr_assert(nextStep(T, T0 + Milliseconds(300)) == TailStep::Newest);
+  }
+}
+
 Test(tail, it_is_current_as_of_the_sending_of_a_complete_read) {
   Tail T;
   onNewest(T, page(7, false), T0);
