--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -87,11 +87,13 @@
   for (const auto &[Id, Info] : Context_.Registry_->workers())
     if (Info.Service_ == Slice_)
       scheduler::onWorker(State_, Info, now());
-  std::size_t Jobs = 0;
+  std::size_t Jobs = 0, Closed = 0, WithProgress = 0;
   for (const auto &[Id, Row] : Copy.Jobs_)
     if (isMine(Id)) {
       scheduler::onJob(State_, Id, Row, true, now(), nowUnixMs());
       ++Jobs;
+      Closed += workflow::isClosed(Row.Progress_.state());
+      WithProgress += Row.ProgressAt_ > 0;
     }
   Stage_ = Stage::Running;
   observe::log(Level::Info, "slice-owned",
@@ -101,6 +103,10 @@
                 {"predecessor", toString(Claim_.Before_)},
                 {"after_ms", elapsed(Claim_.ClaimedAt_, now()).count()},
                 {"jobs", Jobs},
+                {"jobs_closed", Closed},
+                {"jobs_with_progress", WithProgress},
+                {"fence_offset", FenceOffset_},
+                {"read_up_to", Context_.Partition_->Tail_.Next_},
                 {"workers", State_.Workers_.size()},
                 {"unaccounted", State_.Unaccounted_.size()}});
 }
