Records that the store's answer does not account for are not announced

What callers would see: LOST, as in the write of 200 records under the number of three: the relay announced them to all copies before the owner looked at the answer. With a number bound to its records no way to such an answer is known; the announcement is the place that spreads it.

--- a/packages/relay/src/store.cpp
+++ b/packages/relay/src/store.cpp
@@ -198,6 +198,9 @@
       StoreStatus(Reply.Status_) != StoreStatus::Done ||
       C->Request_.Topic_ != Ports_.AnnouncedTopic_)
     return;
+  // The store answers a known number as it did before, whatever records came.
+  if (Reply.End_ != Reply.First_ + C->Request_.Rows_.size())
+    return count(Counters_, "relay-append-mismatch");
   StoredMessage M{C->Request_.Topic_, C->Request_.Partition_,
                   std::move(C->Request_.Rows_)};
   Offset Next = Reply.First_;
