The wait for inherited leases begins when the claim is answered

What callers would see: TWICE. The owner before may give orders for 4 s after its last read of the claims, and it may have read them until the new claim was stored. A slow store stores a claim up to 2 s after it was sent; the new owner counted from the sending, so that its wait ended that much too early.

The other tests' calls lose the argument that nothing uses any more; their assertions are as they were.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -212,14 +212,12 @@
     Call.To_ = {ClaimTopic, 0};
     Call.Records_ = {W.Record_};
     Call.ExpectedEnd_ = W.ExpectedEnd_;
-    TimePoint SentAt = now();
-    Store_.append(std::move(Call),
-                  [this, W, SentAt](const ledger::AppendReply &R) {
-                    ownership::onWritten(Claims_, W, R, SentAt, now());
-                    if (R.Status_ == ledger::StoreStatus::Moved)
-                      ledger::hurry(ClaimTail_, now());
-                    wake();
-                  });
+    Store_.append(std::move(Call), [this, W](const ledger::AppendReply &R) {
+      ownership::onWritten(Claims_, W, R, now());
+      if (R.Status_ == ledger::StoreStatus::Moved)
+        ledger::hurry(ClaimTail_, now());
+      wake();
+    });
   }
 
   void syncOwners() {
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -72,6 +72,8 @@
   std::uint32_t Generation_ = 0;
   Predecessor Before_ = Predecessor::None;
   ClaimNumber Previous_ = 0; ///< Claim of the predecessor.
+  /// When the claim was answered. The predecessor can't have read it later than
+  /// that and go on.
   TimePoint ClaimedAt_{};
 };
 
@@ -112,7 +114,7 @@
 /// claim that was stored before then has been read.
 void onContact(State &S, TimePoint CurrentAt, TimePoint Now);
 void onWritten(State &S, const Write &W, const ledger::AppendReply &Reply,
-               TimePoint SentAt, TimePoint Now);
+               TimePoint Now);
 /// Writes that are due. \p Wanted: slices of the configuration in force.
 /// \p End: end of the claims partition as far as it was read.
 std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -170,7 +170,7 @@
 }
 
 void onWritten(State &S, const Write &W, const ledger::AppendReply &Reply,
-               TimePoint SentAt, TimePoint Now) {
+               TimePoint Now) {
   bool Stored = Reply.Status_ == StoreStatus::Done;
   if (W.Kind_ == Write::Kind::Beat) {
     S.BeatInFlight_ = false;
@@ -198,7 +198,7 @@
                    false,
                    Now};
   S.Owned_[W.Slice_] =
-      Owned{View.Number_, W.Generation_, W.Before_, W.Previous_, SentAt};
+      Owned{View.Number_, W.Generation_, W.Before_, W.Previous_, Now};
 }
 
 std::vector<Write> tick(State &S, const std::set<SliceName> &Wanted,
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -54,7 +54,7 @@
       if (!StoreDown_)
         onContact(Entries_[I], Now_, Now_);
       for (const Write &W : tick(Entries_[I], Wanted_, Log_.size(), Now_))
-        onWritten(Entries_[I], W, append(W), Now_, Now_);
+        onWritten(Entries_[I], W, append(W), Now_);
     }
   }
 
@@ -160,13 +160,30 @@
   const Write &Claim = Writes.back();
   cr_assert(Claim.Kind_ == Write::Kind::Claim);
   C.append(Claim);
-  onWritten(S, Claim, {}, C.Now_, C.Now_);
+  onWritten(S, Claim, {}, C.Now_);
   cr_assert(S.Owned_.empty());
   C.run(Milliseconds(1'000));
   cr_assert_eq(S.Owned_.size(), 1u);
   cr_assert(S.Owned_.at("s").Before_ == Predecessor::MayRun);
 }
 
+// Guards against TWICE: the owner before may give orders until it could have
+// read the claim, which a slow store carries out long after it was sent.
+Test(claims, the_wait_for_inherited_leases_begins_when_the_claim_is_answered) {
+  Cell C(1);
+  State &S = C.Entries_[0];
+  std::vector<Write> Writes;
+  while (S.Claiming_.empty()) {
+    C.Now_ += Milliseconds(25);
+    onContact(S, C.Now_, C.Now_);
+    for (Write &W : tick(S, {"s"}, C.Log_.size(), C.Now_))
+      Writes.push_back(std::move(W));
+  }
+  C.Now_ += Milliseconds(1'900);
+  onWritten(S, Writes.back(), C.append(Writes.back()), C.Now_);
+  cr_assert(S.Owned_.at("s").ClaimedAt_ == C.Now_);
+}
+
 Test(claims, stored_heartbeats_do_not_let_an_owner_order_that_cannot_read) {
   Cell C(1);
   C.run(Milliseconds(1'000));
@@ -175,7 +192,7 @@
   for (TimePoint End = C.Now_ + S.Options_.SelfFence_; C.Now_ < End;) {
     C.Now_ += Milliseconds(25);
     for (const Write &W : tick(S, {"s"}, std::nullopt, C.Now_))
-      onWritten(S, W, C.append(W), C.Now_, C.Now_);
+      onWritten(S, W, C.append(W), C.Now_);
   }
   cr_assert_not(mayOrder(S, C.Now_));
 }
@@ -342,7 +359,7 @@
       if (Claim && ++Tries <= 2)
         C.append({Write::Kind::Beat, {}, makeNode("n9", {"n9.1", "n9:1", 1})});
       std::size_t Length = C.Log_.size();
-      onWritten(S, W, C.append(W), C.Now_, C.Now_);
+      onWritten(S, W, C.append(W), C.Now_);
       if (!Claim || C.Log_.size() > Length)
         continue;
       // Nothing more has been read yet.
