A copy that is loaded again takes nothing from what proved wrong

What callers would see: LOST or TWICE after a copy had taken records from a wrong place: their offsets hid the progress that the store holds (a later offset wins), and a reply about another place brought its records into the copy before it was refused.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -153,6 +153,9 @@
          [this, Number] {
            intake::onProgress(Intake_, Number, now());
            wake();
+         },
+         [this, Number] {
+           ledger::beginLoad(Intake_.Partitions_.at(Number).Replica_);
          }});
   }
 
--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -27,8 +27,11 @@
 void Follower::onNewest(const ledger::NewestReply &Reply) {
   if (Stopped_)
     return;
-  if (Tail_.PageAfter_.empty())
+  if (Tail_.PageAfter_.empty()) {
     LoadedKeys_.clear();
+    if (Events_.OnLoadBegins_)
+      Events_.OnLoadBegins_();
+  }
   for (const ledger::KeyedRecord &R : Reply.Records_) {
     LoadedKeys_.insert(R.Key_);
     Events_.OnRecord_(R);
@@ -45,10 +48,13 @@
 void Follower::onRead(const ledger::ReadReply &Reply) {
   if (Stopped_)
     return;
-  for (const ledger::KeyedRecord &R : Reply.Records_)
-    if (R.Offset_ >= Tail_.Next_)
-      Events_.OnRecord_(R);
+  Offset From = Tail_.Next_;
   ledger::onRead(Tail_, Reply, now());
+  // A reply that contradicts the store begins a load and brings nothing.
+  if (!Tail_.Loading_)
+    for (const ledger::KeyedRecord &R : Reply.Records_)
+      if (R.Offset_ >= From)
+        Events_.OnRecord_(R);
   for (const ledger::KeyedRecord &R : ledger::takeAhead(Tail_))
     Events_.OnRecord_(R);
   if (Tail_.Reachable_)
--- a/apps/pollenvale/fleet/follower.hpp
+++ b/apps/pollenvale/fleet/follower.hpp
@@ -14,6 +14,8 @@
   std::function<void(const std::set<std::string> &)> OnLoaded_;
   /// After every answer of the store.
   std::function<void()> OnAnswer_;
+  /// Before the records of a load, the first or a later one.
+  std::function<void()> OnLoadBegins_ = {};
 };
 
 /// Keeps itself alive while a call is in flight.
--- /dev/null
+++ b/apps/pollenvale/tests/unit-follower.cpp
@@ -0,0 +1,56 @@
+/// Following a partition by replies that contradict the store.
+#include "fleet/follower.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using ledger::StoreStatus;
+
+namespace {
+
+/// Holds calls until the test answers them.
+struct HeldStore : ledger::Store {
+  void append(ledger::AppendCall, ledger::Done<ledger::AppendReply>) override {
+    cr_assert_fail("a follower only reads");
+  }
+  void read(ledger::ReadCall, ledger::Done<ledger::ReadReply> Done) override {
+    Read_ = std::move(Done);
+  }
+  void newest(ledger::NewestCall,
+              ledger::Done<ledger::NewestReply> Done) override {
+    Newest_ = std::move(Done);
+  }
+
+  ledger::Done<ledger::ReadReply> Read_;
+  ledger::Done<ledger::NewestReply> Newest_;
+};
+
+} // namespace
+
+// Guards against LOST: the records of a reply about another place get into the
+// copy, although the copy is loaded again for it.
+Test(follower, a_reply_about_another_place_brings_no_records) {
+  HeldStore Store;
+  ledger::Tail Tail;
+  std::vector<std::string> Keys;
+  unsigned Loads = 0;
+  auto F = std::make_shared<fleet::Follower>(
+      Store, Tail,
+      fleet::FollowerEvents{
+          [&](const ledger::KeyedRecord &R) { Keys.push_back(R.Key_); },
+          {},
+          [] {},
+          [&] { ++Loads; }});
+  F->poll();
+  ledger::NewestReply Page{StoreStatus::Done};
+  Page.End_ = 5;
+  std::exchange(Store.Newest_, nullptr)(Page);
+  cr_assert(bool(Store.Read_));
+  ledger::ReadReply Elsewhere{StoreStatus::Done, {{"k", "v", 9}}, 10, 10};
+  Elsewhere.Records_.push_back({"k2", "v", 3});
+  std::exchange(Store.Read_, nullptr)(Elsewhere);
+  cr_assert(Keys.empty());
+  cr_assert(Tail.Loading_);
+  cr_assert_eq(Loads, 1u);
+  F->stop();
+}
--- a/packages/ledger/detail/replica.hpp
+++ b/packages/ledger/detail/replica.hpp
@@ -38,6 +38,10 @@
 /// Applies \p R. Applying one twice has the effect of applying it once.
 Change apply(Replica &Copy, const KeyedRecord &R);
 
+/// Before the newest record of each key is applied: these replace the progress
+/// that the copy has, also where it came from an offset that proved wrong.
+void beginLoad(Replica &Copy);
+
 /// State to show for \p Row.
 workflow::JobState shownState(const JobRow &Row);
 /// Jobs of \p Queue of which no task has started. O(jobs).
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -75,6 +75,12 @@
   return {};
 }
 
+void beginLoad(Replica &Copy) {
+  for (auto *Rows : {&Copy.Jobs_, &Copy.Early_})
+    for (auto &[Job, Row] : *Rows)
+      Row.ProgressAt_ = 0;
+}
+
 JobState shownState(const JobRow &Row) {
   JobState State = Row.Progress_.state();
   if (!workflow::isClosed(State) && Row.Cancelled_)
--- a/packages/ledger/tests/unit-replica.cpp
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -98,3 +98,14 @@
   cr_assert(Copy.Rosters_.at("a").Settled_);
   cr_assert_eq(Copy.Rosters_.at("b").Claim_, 4u);
 }
+
+// Guards against TWICE: progress from an offset that proved wrong hides the
+// progress that the store holds, and a new owner starts done tasks again.
+Test(replica, a_load_replaces_progress_from_an_offset_that_proved_wrong) {
+  Replica Copy;
+  apply(Copy, jobRecord("x", 0));
+  apply(Copy, progressRecord(JobState::Running, 90));
+  beginLoad(Copy);
+  apply(Copy, progressRecord(JobState::Completed, 7));
+  cr_assert(shownState(Copy.Jobs_.at("j1")) == JobState::Completed);
+}
