Test that an occurrence which is due is not starved by later jobs (fails)

What callers would see: a scheduled job's occurrence waits for as long as newer jobs come, for workers and for the placement policy: late results, and LOST where the end of the traffic finds it waiting.

Cause: DueAt_ and worthlessAt() count once from the acceptance of the job. An occurrence that is due minutes later is worth nothing from its first moment, so it goes behind all that is not.

Evidence: a job of one task that is accepted at the same moment is completed, the occurrence is not after 5 s of 150% load: The expression (C.state("timed")) == (JobState::Completed) is false.

--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -1,5 +1,6 @@
 /// Steps and their order, schedules and cancellation.
 #include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/tasks.hpp"
 
 #include <criterion/criterion.h>
 
@@ -100,3 +101,34 @@
   C.owner().State_.Behind_ = false;
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
 }
+
+// Guards against LOST and late results: a later occurrence of a scheduled job
+// is ordered by the objective of the job's acceptance, which was over long
+// before the occurrence was due, and waits for as long as other work comes.
+Test(steps, an_occurrence_that_is_due_is_not_starved_by_later_jobs) {
+  constexpr std::int64_t FirstDueUnixMs = 1'000;
+  FleetCell C({"a"});
+  C.takeOver();
+  workflow::WorkflowSpec Timed = plainJob({plainStep(1)});
+  Timed.Repeats_ = 1;
+  Timed.FirstDueUnixMs_ = FirstDueUnixMs;
+  C.submit("timed", Timed);
+  int Sent = 0;
+  // Half as many tasks again as the worker can run.
+  auto Stream = [&](Milliseconds Time) {
+    constexpr Milliseconds Gap{50};
+    for (Milliseconds Passed{0}; Passed < Time; Passed += Gap) {
+      C.submit("s" + std::to_string(Sent++), plainJob({plainStep(3)}));
+      C.run(Gap);
+    }
+  };
+  Stream(Milliseconds(10'000));
+  scheduler::State &S = C.owner().State_;
+  scheduler::detail::openDueOccurrences(S, S.Jobs_.at("timed"), C.Now_,
+                                        FirstDueUnixMs);
+  C.submit("fresh", plainJob({plainStep(1)}));
+  Stream(Milliseconds(5'000));
+  cr_assert_eq(C.state("fresh"), JobState::Completed);
+  cr_assert_eq(C.state("timed"), JobState::Completed);
+  cr_assert(C.Broken_.empty());
+}
