Test that an announcement is of no more records than the answer accounts for (fails)

What callers would see: LOST. The store answers a number that it knows with its first answer, whatever records came. Since the owner checks the count only after the relay has announced the records, all copies still take them at offsets where the store holds others.

Evidence: unit_relay 14/15: The expression Announced.empty() is false.

--- a/packages/relay/tests/unit-relay.cpp
+++ b/packages/relay/tests/unit-relay.cpp
@@ -251,3 +251,29 @@
   C.append(0);
   cr_assert(C.Announced_.empty());
 }
+
+// Guards against LOST: the store answers a number that it knows as it did
+// before, and the records that came this time are announced at offsets where
+// the store holds others.
+Test(relay, records_that_the_answer_does_not_account_for_are_not_announced) {
+  struct KnownNumber : Store {
+    void append(AppendCall, Done<AppendReply> Done) override {
+      Done({StoreStatus::Done, 0, 1});
+    }
+    void read(ReadCall, Done<ReadReply> Done) override { Done({}); }
+    void newest(NewestCall, Done<NewestReply> Done) override { Done({}); }
+  } Direct;
+  std::vector<Offset> Announced;
+  RelayPorts P;
+  P.Direct_ = &Direct;
+  P.Clock_ = [] { return TimePoint{std::chrono::seconds(100)}; };
+  P.AnnouncedTopic_ = "t";
+  P.OnStored_ = [&](std::uint32_t, std::vector<KeyedRecord> Records) {
+    for (const KeyedRecord &R : Records)
+      Announced.push_back(R.Offset_);
+  };
+  RelayStore Entry(std::move(P));
+  AppendCall Call{{"t", 0}, {{"b", "1"}, {"c", "1"}}, {}, Fence{"s", 7, 1}};
+  Entry.append(Call, [](const AppendReply &) {});
+  cr_assert(Announced.empty());
+}
