--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -1,6 +1,7 @@
 /// Service tasks: restarted however they end, and best-effort tasks throttled
 /// beside them.
 #include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/placing.hpp"
 
 #include <criterion/criterion.h>
 
@@ -114,3 +115,86 @@
   cr_assert(Runs);
   cr_assert(C.Broken_.empty());
 }
+
+namespace {
+
+/// A service whose worker fails long after the job was accepted, while the
+/// policy, which must allow each start, is asked for more short jobs than it
+/// can answer.
+struct BusyPolicy : FleetCell {
+  BusyPolicy() : FleetCell({"a", "b", "c"}) {
+    workflow::Queue Advised = Catalog_.Queues_[0];
+    Advised.Advice_ = workflow::AdvicePolicy{200, 1, 2'000};
+    Advised.Name_ = "short";
+    addQueue(Advised);
+    Advised.Name_ = "services";
+    Advised.Priority_ = 1;
+    addQueue(Advised);
+    Policy_ = advice::makePool("entry");
+    takeOver();
+    FateOf_ = [](const TaskId &Id, std::uint32_t Run) {
+      if (Id.Step_.Job_ == "serve" && Run == 1)
+        return Fate{Milliseconds(15'000), EndKind::Failed};
+      return Fate{Milliseconds(Id.Step_.Job_ == "serve" ? 90'000 : 100)};
+    };
+    workflow::StepSpec Serve = plainStep(2);
+    Serve.LongRunning_ = true;
+    submitTo("services", "serve", plainJob({Serve}));
+  }
+
+  /// Ten short jobs a second.
+  void runBusy(Milliseconds Time) {
+    constexpr Milliseconds Gap{100};
+    for (Milliseconds Passed{0}; Passed < Time; Passed += Gap) {
+      submitTo("short", "j" + std::to_string(++Short_),
+               plainJob({plainStep(1)}));
+      run(Gap);
+    }
+  }
+
+  bool serves() const {
+    return !whereIs({{"serve", 0, 0}, 0}).empty() &&
+           !whereIs({{"serve", 0, 0}, 1}).empty();
+  }
+
+  int Short_ = 0;
+};
+
+} // namespace
+
+// Guards against LOST: a task that lasts was the last to be placed once its job
+// was three objectives old, and stayed away while workers were free.
+Test(services, an_old_service_task_comes_back_while_the_policy_is_busy) {
+  BusyPolicy C;
+  C.run(Milliseconds(10'000));
+  cr_assert(C.serves());
+  C.runBusy(Milliseconds(6'000));
+  cr_assert_not(C.serves(), "both runs have failed");
+  C.runBusy(Milliseconds(4'000));
+  cr_assert(C.serves());
+  cr_assert(C.Broken_.empty());
+}
+
+// Guards against LOST: a task that lasts was behind all others for room on
+// workers once its job was three objectives old.
+Test(services, an_old_service_that_is_down_goes_before_new_jobs) {
+  constexpr TimePoint T0{std::chrono::seconds(1'000)};
+  using scheduler::detail::waitKey;
+  workflow::StepSpec Serve = plainStep(1);
+  Serve.LongRunning_ = true;
+  scheduler::Job Old;
+  Old.AcceptedAt_ = T0 - Milliseconds(60'000);
+  Old.DueAt_ = Old.AcceptedAt_ + Milliseconds(2'500);
+  Old.Queue_.Priority_ = 1;
+  scheduler::Step Down;
+  Down.WaitsSince_ = T0;
+  scheduler::Job New;
+  New.AcceptedAt_ = T0;
+  New.DueAt_ = T0 + Milliseconds(9'000);
+  auto GoesFirst = [&](Milliseconds After) {
+    TimePoint Now = T0 + After;
+    return waitKey(Old, Serve, Down, Now) < waitKey(New, plainStep(1), {}, Now);
+  };
+  cr_assert_not(GoesFirst(Milliseconds(1'000)), "its priority is lower");
+  cr_assert(GoesFirst(Milliseconds(3'000)));
+}
