--- a/packages/relay/tests/unit-relay.cpp
+++ b/packages/relay/tests/unit-relay.cpp
@@ -275,6 +275,83 @@
   cr_assert(C.Announced_.empty());
 }
 
+namespace {
+
+/// Entry 0 makes \p Call by its peer and ends; the answer waits for the process
+/// that starts at its address, whose own calls get no answer.
+void restartBeforeTheAnswer(Cell &C, std::function<void(RelayStore &)> Call) {
+  C.append();
+  C.Stores_[0]->Mood_ = Mood::Refuses;
+  C.Queued_[0];
+  Call(*C.Entries_[0]);
+  C.start(0);
+  C.Deaf_.insert(1);
+  C.Announced_.clear();
+}
+
+} // namespace
+
+// Guards against LOST: a caller is told that its job is stored, and it is in no
+// log.
+Test(peer_replies,
+     a_reply_to_an_earlier_process_is_no_proof_of_a_stored_append) {
+  Cell C(2);
+  restartBeforeTheAnswer(C, [](RelayStore &S) {
+    S.newest({{"other", 3}, {}}, [](const NewestReply &) {});
+  });
+  Statuses Out;
+  C.Entries_[0]->append(
+      {{"t", 0}, {{"job", "v"}}, {}, {}},
+      [&](const AppendReply &R) { Out.push_back(R.Status_); });
+  C.release(0);
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(C.Log_.size(), 1u);
+  cr_assert(Out == Statuses{StoreStatus::Unknown});
+  cr_assert(C.Announced_.empty(), "announced, and stored nowhere");
+}
+
+// Guards against LOST: a copy goes on behind records that it has not read.
+Test(peer_replies, a_reply_to_an_earlier_process_moves_no_copy) {
+  Cell C(2);
+  for (int I = 0; I < 5; ++I)
+    C.append();
+  restartBeforeTheAnswer(C, [](RelayStore &S) {
+    S.read({{"t", 0}, 0}, [](const ReadReply &) {});
+  });
+  std::vector<ReadReply> Out;
+  C.Entries_[0]->read({{"t", 1}, 0}, [&](ReadReply R) { Out.push_back(R); });
+  C.release(0);
+  C.run(Milliseconds(2'000));
+  cr_assert_eq(Out.size(), 1u);
+  cr_assert(Out[0].Status_ == StoreStatus::Unknown);
+  cr_assert_eq(Out[0].Next_, 0u);
+}
+
+// Guards against LOST: an answer about another call tells that an append is
+// stored.
+Test(peer_replies, a_reply_that_says_another_partition_or_kind_is_refused) {
+  for (int Case = 0; Case < 4; ++Case) {
+    Cell C(2);
+    C.Stores_[0]->Mood_ = Mood::Refuses;
+    C.Queued_[1];
+    Statuses Out;
+    AppendCall Call{{"t", 0}, {{"k", "v"}}, {}, {}};
+    C.Entries_[0]->append(
+        Call, [&](const AppendReply &R) { Out.push_back(R.Status_); });
+    Message Sent = decode(C.Queued_[1].at(0));
+    const auto &Asked = std::get<RequestMessage>(Sent);
+    ReplyMessage Reply = makeReply(Asked.Id_, AppendReply{StoreStatus::Done});
+    address(Reply, Asked);
+    Reply.Partition_ += Case == 0;
+    Reply.Kind_ += Case == 1;
+    Reply.Topic_ += Case == 2 ? "x" : "";
+    C.Entries_[0]->onMessage(decode(encode(Reply)));
+    cr_assert_eq(Out.size(), Case == 3 ? 1u : 0u);
+    cr_assert_eq(C.Entries_[0]->Counters_["relay-reply-refused"],
+                 Case == 3 ? 0u : 1u);
+  }
+}
+
 // Guards against LOST: the store answers a number that it knows as it did
 // before, and the records that came this time are announced at offsets where
 // the store holds others.
@@ -299,80 +376,4 @@
   AppendCall Call{{"t", 0}, {{"b", "1"}, {"c", "1"}}, {}, Fence{"s", 7, 1}};
   Entry.append(Call, [](const AppendReply &) {});
   cr_assert(Announced.empty());
-
-  namespace {
-
-  /// Entry 0 makes \p Call by its peer and ends; the answer waits for the
-  /// process that starts at its address, whose own calls get no answer.
-  void restartBeforeTheAnswer(Cell &C, std::function<void(RelayStore &)> Call) {
-    C.append();
-    C.Stores_[0]->Mood_ = Mood::Refuses;
-    C.Queued_[0];
-    Call(*C.Entries_[0]);
-    C.start(0);
-    C.Deaf_.insert(1);
-    C.Announced_.clear();
-  }
-
-  } // namespace
-
-  // Guards against LOST: a caller is told that its job is stored, and it is in
-  // no log.
-  Test(peer_replies,
-       a_reply_to_an_earlier_process_is_no_proof_of_a_stored_append) {
-    Cell C(2);
-    restartBeforeTheAnswer(C, [](RelayStore &S) {
-      S.newest({{"other", 3}, {}}, [](const NewestReply &) {});
-    });
-    Statuses Out;
-    C.Entries_[0]->append(
-        {{"t", 0}, {{"job", "v"}}, {}, {}},
-        [&](const AppendReply &R) { Out.push_back(R.Status_); });
-    C.release(0);
-    C.run(Milliseconds(2'000));
-    cr_assert_eq(C.Log_.size(), 1u);
-    cr_assert(Out == Statuses{StoreStatus::Unknown});
-    cr_assert(C.Announced_.empty(), "announced, and stored nowhere");
-  }
-
-  // Guards against LOST: a copy goes on behind records that it has not read.
-  Test(peer_replies, a_reply_to_an_earlier_process_moves_no_copy) {
-    Cell C(2);
-    for (int I = 0; I < 5; ++I)
-      C.append();
-    restartBeforeTheAnswer(C, [](RelayStore &S) {
-      S.read({{"t", 0}, 0}, [](const ReadReply &) {});
-    });
-    std::vector<ReadReply> Out;
-    C.Entries_[0]->read({{"t", 1}, 0}, [&](ReadReply R) { Out.push_back(R); });
-    C.release(0);
-    C.run(Milliseconds(2'000));
-    cr_assert_eq(Out.size(), 1u);
-    cr_assert(Out[0].Status_ == StoreStatus::Unknown);
-    cr_assert_eq(Out[0].Next_, 0u);
-  }
-
-  // Guards against LOST: an answer about another call tells that an append is
-  // stored.
-  Test(peer_replies, a_reply_that_says_another_partition_or_kind_is_refused) {
-    for (int Case = 0; Case < 4; ++Case) {
-      Cell C(2);
-      C.Stores_[0]->Mood_ = Mood::Refuses;
-      C.Queued_[1];
-      Statuses Out;
-      AppendCall Call{{"t", 0}, {{"k", "v"}}, {}, {}};
-      C.Entries_[0]->append(
-          Call, [&](const AppendReply &R) { Out.push_back(R.Status_); });
-      Message Sent = decode(C.Queued_[1].at(0));
-      const auto &Asked = std::get<RequestMessage>(Sent);
-      ReplyMessage Reply = makeReply(Asked.Id_, AppendReply{StoreStatus::Done});
-      address(Reply, Asked);
-      Reply.Partition_ += Case == 0;
-      Reply.Kind_ += Case == 1;
-      Reply.Topic_ += Case == 2 ? "x" : "";
-      C.Entries_[0]->onMessage(decode(encode(Reply)));
-      cr_assert_eq(Out.size(), Case == 3 ? 1u : 0u);
-      cr_assert_eq(C.Entries_[0]->Counters_["relay-reply-refused"],
-                   Case == 3 ? 0u : 1u);
-    }
-  }
+}
