The objective of a scheduled job's occurrence counts from when it came due

What callers would see: an occurrence of a scheduled job that comes due long after its job was accepted waits for as long as newer jobs come: late results, and LOST where the end of the traffic finds it waiting.

Cause: the objective counted once from the acceptance of the job, so a later occurrence was late, then worth nothing, from its first moment: for workers, for the placement policy and for reservations.

Change: an occurrence keeps when it came due (CameDueAt_), and dueAt() and worthlessAt() start there. With a schedule it follows from the wall clock, no older than what is believed of an acceptance, and never before the acceptance; also for occurrences that an owner inherits. Without a schedule it is the acceptance, as before. A service still counts from when a task came up. Job holds the length of the objective instead of its end, so that no end can be taken for that of all occurrences.

The services test names the occurrences, with the same times and the same assertions.

--- a/packages/scheduler/detail/placing.hpp
+++ b/packages/scheduler/detail/placing.hpp
@@ -21,12 +21,17 @@
   bool operator==(const WaitKey &O) const { return key() == O.key(); }
 };
 
-/// End of the objective of a step that waits. That of a service begins anew
-/// each time that a task of it comes up.
-TimePoint dueAt(const Job &J, const workflow::StepSpec &Spec, const Step &P);
-
-WaitKey waitKey(const Job &J, const workflow::StepSpec &Spec, const Step &P,
-                TimePoint Now);
+/// End of the objective of an occurrence.
+TimePoint dueAt(const Job &J, const Occurrence &O);
+/// The same of a step that waits. That of a service begins anew each time that
+/// a task of it comes up.
+TimePoint dueAt(const Job &J, const Occurrence &O,
+                const workflow::StepSpec &Spec, const Step &P);
+/// Time after which an occurrence is worth nothing.
+TimePoint worthlessAt(const Job &J, const Occurrence &O);
+
+WaitKey waitKey(const Job &J, const Occurrence &O,
+                const workflow::StepSpec &Spec, const Step &P, TimePoint Now);
 
 /// A worker that could take a task of the step.
 struct Candidate {
@@ -46,9 +51,6 @@
                                         const std::vector<Candidate> &All,
                                         const WorkerId &FailedOn);
 
-/// Time after which the job is worth nothing.
-TimePoint worthlessAt(const Job &J);
-
 /// Workers to ask the policy about so that \p Tasks tasks find room: those with
 /// room, and more of \p Unknown as long as naming them costs little beside the
 /// decision, since the answer stays valid.
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -84,6 +84,7 @@
 struct Occurrence {
   std::vector<Step> Steps_;
   std::uint32_t StepsDone_ = 0;
+  TimePoint CameDueAt_{}; ///< Begin of its objective.
 };
 
 struct Job {
@@ -96,7 +97,7 @@
   bool Inherited_ = false;           ///< Accepted before this owner's claim.
   bool Dirty_ = false;               ///< Progress is to be written.
   TimePoint AcceptedAt_{};
-  TimePoint DueAt_{}; ///< End of the objective.
+  Milliseconds Objective_{0}; ///< Of each occurrence, from when it came due.
   TimePoint ClosedAt_{};
 };
 
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -36,7 +36,8 @@
 void reconcileGang(State &S, const StepId &Id);
 
 workflow::Progress makeProgress(const Job &J);
-void loadProgress(State &S, Job &J, const workflow::Progress &P, TimePoint Now);
+void loadProgress(State &S, Job &J, const workflow::Progress &P, TimePoint Now,
+                  std::int64_t NowUnixMs);
 
 /// The worker's clock as of \p Now.
 Milliseconds clockOf(const Worker &W, TimePoint Now);
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -15,6 +15,27 @@
 /// before, so that no number is used twice.
 constexpr std::uint32_t RunsPerOwner = 1'000;
 
+/// Wall clocks of two VMs may differ; only a plausible age is believed.
+Milliseconds ageOf(std::int64_t SinceUnixMs, std::int64_t NowUnixMs) {
+  constexpr std::int64_t MaxAgeMs = 120'000;
+  return Milliseconds(
+      std::clamp<std::int64_t>(NowUnixMs - SinceUnixMs, 0, MaxAgeMs));
+}
+
+std::int64_t dueUnixMs(const workflow::WorkflowSpec &Spec,
+                       std::uint32_t Number) {
+  return Spec.FirstDueUnixMs_ + std::int64_t(Number) * Spec.IntervalMs_;
+}
+
+/// When an occurrence came due, but not before the job was accepted.
+TimePoint cameDueAt(const Job &J, std::uint32_t Number, TimePoint Now,
+                    std::int64_t NowUnixMs) {
+  if (J.Spec_.Repeats_ == 0)
+    return J.AcceptedAt_;
+  Milliseconds Age = ageOf(dueUnixMs(J.Spec_, Number), NowUnixMs);
+  return std::max(J.AcceptedAt_, Now - Age);
+}
+
 Occurrence makeOccurrence(const workflow::WorkflowSpec &Spec,
                           std::uint32_t FirstRun) {
   Occurrence O;
@@ -117,12 +138,11 @@
                         std::int64_t NowUnixMs) {
   const workflow::WorkflowSpec &Spec = J.Spec_;
   while (J.NextOccurrence_ < workflow::occurrences(Spec)) {
-    std::int64_t Due = Spec.FirstDueUnixMs_ +
-                       std::int64_t(J.NextOccurrence_) * Spec.IntervalMs_;
-    if (Spec.Repeats_ > 0 && Due > NowUnixMs)
+    if (Spec.Repeats_ > 0 && dueUnixMs(Spec, J.NextOccurrence_) > NowUnixMs)
       break;
     std::uint32_t Number = J.NextOccurrence_++;
-    J.Open_[Number] = makeOccurrence(Spec, firstRun(S, J));
+    Occurrence &O = J.Open_[Number] = makeOccurrence(Spec, firstRun(S, J));
+    O.CameDueAt_ = cameDueAt(J, Number, Now, NowUnixMs);
     releaseSteps(S, J, Number, Now);
   }
   if (J.NextOccurrence_ < workflow::occurrences(Spec))
@@ -147,8 +167,8 @@
   return Out;
 }
 
-void loadProgress(State &S, Job &J, const workflow::Progress &P,
-                  TimePoint Now) {
+void loadProgress(State &S, Job &J, const workflow::Progress &P, TimePoint Now,
+                  std::int64_t NowUnixMs) {
   J.State_ = P.state();
   J.NextOccurrence_ = P.DoneBefore_;
   if (workflow::isClosed(J.State_)) {
@@ -157,6 +177,7 @@
   }
   for (const workflow::OccurrenceProgress &Stored : P.Open_) {
     Occurrence O = makeOccurrence(J.Spec_, firstRun(S, J));
+    O.CameDueAt_ = cameDueAt(J, Stored.Number_, Now, NowUnixMs);
     for (std::size_t I = 0; I < O.Steps_.size() && I < Stored.Steps_.size();
          ++I) {
       loadStep(O.Steps_[I], Stored.Steps_[I]);
@@ -188,16 +209,13 @@
           workflow::findQueue(S.Catalog_, J.Queue_.Name_))
     J.Queue_ = *Q;
   J.Inherited_ = Inherited;
-  // Wall clocks of two VMs may differ; only a plausible age is believed.
-  constexpr std::int64_t MaxAgeMs = 120'000;
-  std::int64_t Age = NowUnixMs - Row.Accepted_.AcceptedUnixMs_;
-  Age = Inherited ? std::clamp<std::int64_t>(Age, 0, MaxAgeMs) : 0;
-  J.AcceptedAt_ = Now - Milliseconds(Age);
+  J.AcceptedAt_ = Now;
+  if (Inherited)
+    J.AcceptedAt_ -= detail::ageOf(Row.Accepted_.AcceptedUnixMs_, NowUnixMs);
   double Chain = double(workflow::longestChain(J.Spec_).count());
-  J.DueAt_ = J.AcceptedAt_ +
-             Milliseconds(std::int64_t(Chain * J.Queue_.Stretch_)) +
-             Milliseconds(J.Queue_.SlackMs_);
-  detail::loadProgress(S, J, Row.Progress_, Now);
+  J.Objective_ = Milliseconds(std::int64_t(Chain * J.Queue_.Stretch_)) +
+                 Milliseconds(J.Queue_.SlackMs_);
+  detail::loadProgress(S, J, Row.Progress_, Now, NowUnixMs);
   if (workflow::isClosed(J.State_))
     return;
   if (Row.Cancelled_) {
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -34,6 +34,7 @@
   WaitKey Key_;
   StepId Id_;
   Job *Job_ = nullptr;
+  const Occurrence *Occurrence_ = nullptr;
   Step *Step_ = nullptr;
   const workflow::StepSpec *Spec_ = nullptr;
   Resources Size_; ///< What one task takes.
@@ -63,9 +64,10 @@
     Job &J = S.Jobs_.at(Id.Job_);
     if (J.Inherited_ && S.InheritanceOpen_)
       continue;
-    Step &P = J.Open_.at(Id.Occurrence_).Steps_[Id.Step_];
+    Occurrence &O = J.Open_.at(Id.Occurrence_);
+    Step &P = O.Steps_[Id.Step_];
     const workflow::StepSpec &Spec = J.Spec_.Steps_[Id.Step_];
-    Out.push_back({waitKey(J, Spec, P, Now), Id, &J, &P, &Spec,
+    Out.push_back({waitKey(J, O, Spec, P, Now), Id, &J, &O, &P, &Spec,
                    workflow::chargedSize(Spec)});
   }
   std::sort(Out.begin(), Out.end(),
@@ -296,8 +298,8 @@
   if (Call.Workers_.empty())
     return;
   Call.Priority_ = J.Queue_.Priority_;
-  Call.DueAt_ = dueAt(J, *W.Spec_, P);
-  Call.WorthlessAt_ = worthlessAt(J);
+  Call.DueAt_ = dueAt(J, *W.Occurrence_, *W.Spec_, P);
+  Call.WorthlessAt_ = worthlessAt(J, *W.Occurrence_);
   Call.LongRunning_ = W.Spec_->LongRunning_;
   Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
                                              J.Queue_.Advice_->PerWorkerMs_ *
@@ -334,7 +336,7 @@
 bool mayReserve(const State &S, const WaitingStep &W, TimePoint Now) {
   constexpr std::size_t WorkersPerReserved = 4;
   std::int64_t Needed = W.Spec_->Size_.Accelerators_;
-  if (Now > W.Job_->DueAt_ || Needed == 0)
+  if (Now > dueAt(*W.Job_, *W.Occurrence_) || Needed == 0)
     return false;
   std::set<std::string_view> Reserved;
   for (const Reservation &R : S.Reservations_)
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -53,20 +53,25 @@
 
 } // namespace
 
-TimePoint worthlessAt(const Job &J) {
-  return J.AcceptedAt_ + (J.DueAt_ - J.AcceptedAt_) * WorthlessAfter;
+TimePoint dueAt(const Job &J, const Occurrence &O) {
+  return O.CameDueAt_ + J.Objective_;
 }
 
-TimePoint dueAt(const Job &J, const workflow::StepSpec &Spec, const Step &P) {
-  return Spec.LongRunning_ ? P.WaitsSince_ + (J.DueAt_ - J.AcceptedAt_)
-                           : J.DueAt_;
+TimePoint dueAt(const Job &J, const Occurrence &O,
+                const workflow::StepSpec &Spec, const Step &P) {
+  return Spec.LongRunning_ ? P.WaitsSince_ + J.Objective_ : dueAt(J, O);
 }
 
-WaitKey waitKey(const Job &J, const workflow::StepSpec &Spec, const Step &P,
-                TimePoint Now) {
+TimePoint worthlessAt(const Job &J, const Occurrence &O) {
+  return O.CameDueAt_ + J.Objective_ * WorthlessAfter;
+}
+
+WaitKey waitKey(const Job &J, const Occurrence &O,
+                const workflow::StepSpec &Spec, const Step &P, TimePoint Now) {
   WaitKey Key;
-  Key.DueAt_ = dueAt(J, Spec, P);
-  Key.Standing_ = standing(Spec.LongRunning_, Key.DueAt_, worthlessAt(J), Now);
+  Key.DueAt_ = dueAt(J, O, Spec, P);
+  Key.Standing_ =
+      standing(Spec.LongRunning_, Key.DueAt_, worthlessAt(J, O), Now);
   Key.Priority_ = J.Queue_.Priority_;
   Key.AcceptedAt_ = J.AcceptedAt_;
   return Key;
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -52,7 +52,7 @@
           {"queue", J.Queue_.Name_},
           {"state", workflow::toString(J.State_)},
           {"after_ms", elapsed(J.AcceptedAt_, J.ClosedAt_).count()},
-          {"objective_ms", elapsed(J.AcceptedAt_, J.DueAt_).count()},
+          {"objective_ms", J.Objective_.count()},
           {"inherited", J.Inherited_},
           {"steps", std::move(Steps)}}});
   }
--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -184,16 +184,20 @@
   Serve.LongRunning_ = true;
   scheduler::Job Old;
   Old.AcceptedAt_ = T0 - Milliseconds(60'000);
-  Old.DueAt_ = Old.AcceptedAt_ + Milliseconds(2'500);
+  Old.Objective_ = Milliseconds(2'500);
   Old.Queue_.Priority_ = 1;
   scheduler::Step Down;
   Down.WaitsSince_ = T0;
   scheduler::Job New;
   New.AcceptedAt_ = T0;
-  New.DueAt_ = T0 + Milliseconds(9'000);
+  New.Objective_ = Milliseconds(9'000);
+  scheduler::Occurrence Before, Fresh;
+  Before.CameDueAt_ = Old.AcceptedAt_;
+  Fresh.CameDueAt_ = New.AcceptedAt_;
   auto GoesFirst = [&](Milliseconds After) {
     TimePoint Now = T0 + After;
-    return waitKey(Old, Serve, Down, Now) < waitKey(New, plainStep(1), {}, Now);
+    return waitKey(Old, Before, Serve, Down, Now) <
+           waitKey(New, Fresh, plainStep(1), {}, Now);
   };
   cr_assert_not(GoesFirst(Milliseconds(1'000)), "its priority is lower");
   cr_assert(GoesFirst(Milliseconds(3'000)));
--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -1,5 +1,6 @@
 /// Steps and their order, schedules and cancellation.
 #include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/placing.hpp"
 #include "scheduler/detail/tasks.hpp"
 
 #include <criterion/criterion.h>
@@ -132,3 +133,28 @@
   cr_assert_eq(C.state("timed"), JobState::Completed);
   cr_assert(C.Broken_.empty());
 }
+
+// Guards against late results: occurrences that are open at the same time, also
+// those that a new owner inherits, are ordered by the objective of another.
+Test(steps, occurrences_that_overlap_have_an_objective_each) {
+  constexpr TimePoint Now{std::chrono::seconds(1'000)};
+  constexpr std::int64_t FirstDueUnixMs = 100'000;
+  constexpr std::uint32_t IntervalMs = 30'000;
+  constexpr std::int64_t NowUnixMs = FirstDueUnixMs + IntervalMs + 5'000;
+  ledger::JobRow Row;
+  Row.Accepted_.Spec_ = plainJob({plainStep(1)});
+  Row.Accepted_.Spec_.Repeats_ = 3;
+  Row.Accepted_.Spec_.FirstDueUnixMs_ = FirstDueUnixMs;
+  Row.Accepted_.Spec_.IntervalMs_ = IntervalMs;
+  Row.Progress_.Open_ = {{0, {}}};
+  Row.Progress_.DoneBefore_ = 1;
+  scheduler::State S;
+  scheduler::onJob(S, "timed", Row, true, Now, NowUnixMs);
+  const scheduler::Job &J = S.Jobs_.at("timed");
+  cr_assert_eq(J.Open_.size(), 2u);
+  auto DueAt = [&](std::uint32_t Number) {
+    return scheduler::detail::dueAt(J, J.Open_.at(Number));
+  };
+  cr_assert(DueAt(0) == Now - Milliseconds(35'000) + J.Objective_);
+  cr_assert(DueAt(1) == Now - Milliseconds(5'000) + J.Objective_);
+}
