--- a/packages/scheduler/tests/unit-steps.cpp
+++ b/packages/scheduler/tests/unit-steps.cpp
@@ -1,5 +1,7 @@
 /// Steps and their order, schedules and cancellation.
 #include "fleet/fleet_cell.hpp"
+#include "scheduler/detail/placing.hpp"
+#include "scheduler/detail/tasks.hpp"
 
 #include <criterion/criterion.h>
 
@@ -100,3 +102,59 @@
   C.owner().State_.Behind_ = false;
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
 }
+
+// Guards against LOST and late results: a later occurrence of a scheduled job
+// is ordered by the objective of the job's acceptance, which was over long
+// before the occurrence was due, and waits for as long as other work comes.
+Test(steps, an_occurrence_that_is_due_is_not_starved_by_later_jobs) {
+  constexpr std::int64_t FirstDueUnixMs = 1'000;
+  FleetCell C({"a"});
+  C.takeOver();
+  workflow::WorkflowSpec Timed = plainJob({plainStep(1)});
+  Timed.Repeats_ = 1;
+  Timed.FirstDueUnixMs_ = FirstDueUnixMs;
+  C.submit("timed", Timed);
+  int Sent = 0;
+  // Half as many tasks again as the worker can run.
+  auto Stream = [&](Milliseconds Time) {
+    constexpr Milliseconds Gap{50};
+    for (Milliseconds Passed{0}; Passed < Time; Passed += Gap) {
+      C.submit("s" + std::to_string(Sent++), plainJob({plainStep(3)}));
+      C.run(Gap);
+    }
+  };
+  Stream(Milliseconds(10'000));
+  scheduler::State &S = C.owner().State_;
+  scheduler::detail::openDueOccurrences(S, S.Jobs_.at("timed"), C.Now_,
+                                        FirstDueUnixMs);
+  C.submit("fresh", plainJob({plainStep(1)}));
+  Stream(Milliseconds(5'000));
+  cr_assert_eq(C.state("fresh"), JobState::Completed);
+  cr_assert_eq(C.state("timed"), JobState::Completed);
+  cr_assert(C.Broken_.empty());
+}
+
+// Guards against late results: occurrences that are open at the same time, also
+// those that a new owner inherits, are ordered by the objective of another.
+Test(steps, occurrences_that_overlap_have_an_objective_each) {
+  constexpr TimePoint Now{std::chrono::seconds(1'000)};
+  constexpr std::int64_t FirstDueUnixMs = 100'000;
+  constexpr std::uint32_t IntervalMs = 30'000;
+  constexpr std::int64_t NowUnixMs = FirstDueUnixMs + IntervalMs + 5'000;
+  ledger::JobRow Row;
+  Row.Accepted_.Spec_ = plainJob({plainStep(1)});
+  Row.Accepted_.Spec_.Repeats_ = 3;
+  Row.Accepted_.Spec_.FirstDueUnixMs_ = FirstDueUnixMs;
+  Row.Accepted_.Spec_.IntervalMs_ = IntervalMs;
+  Row.Progress_.Open_ = {{0, {}}};
+  Row.Progress_.DoneBefore_ = 1;
+  scheduler::State S;
+  scheduler::onJob(S, "timed", Row, true, Now, NowUnixMs);
+  const scheduler::Job &J = S.Jobs_.at("timed");
+  cr_assert_eq(J.Open_.size(), 2u);
+  auto DueAt = [&](std::uint32_t Number) {
+    return scheduler::detail::dueAt(J, J.Open_.at(Number));
+  };
+  cr_assert(DueAt(0) == Now - Milliseconds(35'000) + J.Objective_);
+  cr_assert(DueAt(1) == Now - Milliseconds(5'000) + J.Objective_);
+}
