A read that brings nothing of what is there is repeated after a pause

What could happen: an answer to a read that was cut short before its first record, or that told of records and brought none, left the reader where it was. It counted as a good answer of which more was to come, so the reader asked again at once, and again, without end.

The rest of a long answer is asked for at once as before.

--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -123,11 +123,13 @@
   }
   dropUnstored(T, Reply.End_);
   T.Next_ = std::max(T.Next_, Reply.Next_);
-  if (T.Next_ >= Reply.End_)
+  if (T.Next_ >= Reply.End_) {
     T.CurrentAt_ = std::max(T.CurrentAt_, T.SentAt_);
-  else
-    return;
-  T.NotBefore_ = Now + T.Options_.Spacing_;
+    T.NotBefore_ = Now + T.Options_.Spacing_;
+  } else if (Reply.Next_ == T.ReadFrom_) {
+    // The store brings nothing of what it tells of.
+    T.NotBefore_ = Now + RetryInterval;
+  }
 }
 
 std::vector<KeyedRecord> takeAhead(Tail &T) {
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -102,6 +102,23 @@
   cr_assert(nextStep(T, T0 + Milliseconds(300)) == TailStep::Read);
 }
 
+// Guards against a reader that asks without a pause for records that the store
+// tells of and doesn't bring.
+Test(tail,
+     a_read_that_brings_nothing_of_what_is_there_is_repeated_after_a_pause) {
+  Tail T;
+  onNewest(T, page(7, false), T0);
+  onSent(T, T0);
+  onRead(T, upTo(7, 9), T0);
+  cr_assert(T.CurrentAt_ == TimePoint{});
+  cr_assert(nextStep(T, T0) == TailStep::Idle);
+  cr_assert(nextStep(T, T0 + Milliseconds(300)) == TailStep::Read);
+  onSent(T, T0 + Milliseconds(300));
+  onRead(T, upTo(8, 9), T0 + Milliseconds(310));
+  cr_assert(nextStep(T, T0 + Milliseconds(310)) == TailStep::Read,
+            "the rest of a long answer is asked for at once");
+}
+
 Test(tail, it_is_stale_once_a_read_is_long_overdue) {
   Tail T;
   T.Options_.Wait_ = Milliseconds(1'000);
