A job has at most 10,000 tasks over all its steps

What could happen: a job of 256 steps of 10,000 tasks was accepted. The record of its progress was too long for the store, which refused it; the owner repeated the same write without end, and no end of any task was acknowledged.

Evidence, the new test before the change: unit-spec.cpp:74: !(Result) is false. [FAIL] spec::tasks_are_bounded_over_all_steps

Change: such a job is refused as BadSpec. The bound follows from the packing of Progress: a task takes 1 byte for whether it is done and, with 4 failed attempts noted, at most 1 + 3 + 1 + 4 * 5 = 25 for them, so 10,000 tasks take 260,000 bytes; a step takes at most 7 more, the rest about 20, the key up to 256: under the 262,144 of a record. Many small steps have shorter numbers of tasks (24 bytes a task in all). The job closes at the last attempt, so this holds for queues of up to 5 attempts. A second test packs the longest progress of three shapes; it held before for these.

Open: occurrences of one job that overlap multiply its progress, and a queue of more than 5 attempts lengthens it; neither is bounded.

After: unit_workflow 7 of 7 tests pass, unit_ledger 34 of 34.

--- a/packages/workflow/detail/spec.hpp
+++ b/packages/workflow/detail/spec.hpp
@@ -58,6 +58,9 @@
 inline constexpr std::size_t MaxPayloadBytes = 4'000;
 inline constexpr std::size_t MaxSteps = 256;
 inline constexpr std::uint32_t MaxTasksPerStep = 10'000;
+/// Of all steps: its progress, with 4 failed attempts noted for each task,
+/// stays within a record of 256 kB.
+inline constexpr std::size_t MaxTasks = 10'000;
 inline constexpr std::uint32_t MaxRepeats = 10'000;
 
 /// Success, or BadSpec with the place and value of the first fault.
@@ -66,6 +69,8 @@
 /// Size that a task takes from its worker: best-effort tasks take no
 /// processors.
 Resources chargedSize(const StepSpec &Step);
+/// Tasks of one occurrence.
+std::size_t taskCount(const WorkflowSpec &Spec);
 /// Occurrences of the job, at least 1.
 std::uint32_t occurrences(const WorkflowSpec &Spec);
 /// Declared run time of the longest chain of steps.
--- a/packages/workflow/src/spec.cpp
+++ b/packages/workflow/src/spec.cpp
@@ -43,6 +43,10 @@
   for (std::size_t I = 0; I < Spec.Steps_.size(); ++I)
     if (auto Ok = checkStep(Spec, I); !Ok)
       return Ok;
+  if (taskCount(Spec) > MaxTasks)
+    return makeError(ErrorKind::BadSpec,
+                     "steps: " + std::to_string(taskCount(Spec)) +
+                         " tasks, at most " + std::to_string(MaxTasks));
   return true;
 }
 
@@ -53,6 +57,13 @@
   return Size;
 }
 
+std::size_t taskCount(const WorkflowSpec &Spec) {
+  std::size_t Count = 0;
+  for (const StepSpec &Step : Spec.Steps_)
+    Count += Step.Count_;
+  return Count;
+}
+
 std::uint32_t occurrences(const WorkflowSpec &Spec) {
   return std::max<std::uint32_t>(1, Spec.Repeats_);
 }
--- a/packages/workflow/tests/unit-spec.cpp
+++ b/packages/workflow/tests/unit-spec.cpp
@@ -33,6 +33,62 @@
   cr_assert_not(check(S));
 }
 
+namespace {
+
+WorkflowSpec evenSteps(std::size_t Steps, std::uint32_t Count) {
+  WorkflowSpec S;
+  S.Steps_.resize(Steps);
+  for (StepSpec &Step : S.Steps_)
+    Step.Count_ = Count;
+  return S;
+}
+
+/// Progress of \p Spec with \p Failures failed attempts of every task, by
+/// numbers that take the most bytes.
+Progress longestProgress(const WorkflowSpec &Spec, std::uint32_t Failures) {
+  constexpr std::uint32_t LastRun = 0xffff'ffff;
+  std::set<std::uint32_t> Runs;
+  for (std::uint32_t I = 0; I < Failures; ++I)
+    Runs.insert(LastRun - I);
+  OccurrenceProgress O;
+  O.Number_ = LastRun;
+  for (const StepSpec &Step : Spec.Steps_) {
+    StepProgress P;
+    P.Done_.assign(Step.Count_, false);
+    for (std::uint32_t I = 0; I < Step.Count_; ++I)
+      P.Failures_.push_back({I, Runs});
+    O.Steps_.push_back(std::move(P));
+  }
+  return {int(JobState::Running), {std::move(O)}, LastRun};
+}
+
+} // namespace
+
+// Guards against an owner that writes without end: the store refused a job's
+// progress for its size, again and again.
+Test(spec, tasks_are_bounded_over_all_steps) {
+  WorkflowSpec S = evenSteps(2, 5'000);
+  cr_assert(bool(check(S)));
+  S.Steps_[1].Count_ = 5'001;
+  auto Result = check(S);
+  cr_assert_not(Result);
+  cr_assert(Result.error().Kind_ == ErrorKind::BadSpec);
+  cr_assert_eq(Result.error().Message_, "steps: 10001 tasks, at most 10000");
+  cr_assert_not(check(evenSteps(MaxSteps, MaxTasksPerStep)));
+}
+
+Test(spec, progress_of_every_accepted_job_fits_into_a_record) {
+  constexpr std::size_t RecordBytes = 262'144, KeyBytes = 1 + 255;
+  constexpr std::uint32_t Failures = 4;
+  for (auto [Steps, Count] : {std::pair(1, 10'000), {39, 256}, {256, 39}}) {
+    WorkflowSpec S = evenSteps(Steps, Count);
+    cr_assert(bool(check(S)), "%d of %d", Steps, Count);
+    std::size_t Bytes = pack(longestProgress(S, Failures)).size();
+    cr_assert_leq(KeyBytes + Bytes, RecordBytes, "%d of %d: %zu", Steps, Count,
+                  Bytes);
+  }
+}
+
 Test(spec, the_longest_chain_follows_the_dependencies) {
   WorkflowSpec S;
   S.Steps_.resize(3);
