A write of the owner is bounded in bytes, and the rest follows

What could happen: the progress of up to 200 jobs went into one write, however long it was. The store takes 2 MB a call and refused it; the owner repeated the same records without end, and its acknowledgements stopped.

Evidence, the new test (250 jobs of 10,000 tasks) before the change: unit-writes.cpp:56: bytesOf(Call) <= MaxCallBytes - MaxRecordBytes is false. [FAIL] writes::a_write_fits_into_a_call_and_the_rest_follows

Change: progress is added to a write until it has 1 MB; one record may lie across that, so one always goes. The rest follows in the next write, and ends are acknowledged with the last of them, as before.

--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -12,6 +12,12 @@
 /// A write that was refused is tried again after this time.
 constexpr Milliseconds WriteRetryInterval{200};
 constexpr std::size_t MaxRecordsPerWrite = 200;
+/// Half of what the store takes in one call; one record may lie across it.
+constexpr std::size_t MaxBytesPerWrite = 1'000'000;
+
+std::size_t bytesOf(const ledger::KeyedRecord &R) {
+  return R.Key_.size() + R.Value_.size();
+}
 
 void acknowledge(State &S, const PendingAck &Ack, TimePoint Now) {
   auto It = S.Workers_.find(Ack.Worker_);
@@ -39,6 +45,22 @@
   return false;
 }
 
+/// Progress of changed jobs, as much as one write takes.
+void addProgress(State &S, WriteCall &Call) {
+  std::size_t Bytes = 0;
+  for (const ledger::KeyedRecord &R : Call.Records_)
+    Bytes += bytesOf(R);
+  while (!S.Dirty_.empty() && Call.Records_.size() < MaxRecordsPerWrite &&
+         Bytes < MaxBytesPerWrite) {
+    JobId Id = *S.Dirty_.begin();
+    S.Dirty_.erase(S.Dirty_.begin());
+    Job &J = S.Jobs_.at(Id);
+    J.Dirty_ = false;
+    Call.Records_.push_back(ledger::makeProgress(Id, makeProgress(J)));
+    Bytes += bytesOf(Call.Records_.back());
+  }
+}
+
 /// Closed jobs that callers need not be told about any longer.
 void findExpired(State &S, TimePoint Now) {
   constexpr Milliseconds Interval{5'000};
@@ -86,13 +108,7 @@
         Pending.Roster_.push_back(Id);
     Pending.HasRoster_ = true;
   }
-  while (!S.Dirty_.empty() && Call.Records_.size() < MaxRecordsPerWrite) {
-    JobId Id = *S.Dirty_.begin();
-    S.Dirty_.erase(S.Dirty_.begin());
-    Job &J = S.Jobs_.at(Id);
-    J.Dirty_ = false;
-    Call.Records_.push_back(ledger::makeProgress(Id, makeProgress(J)));
-  }
+  addProgress(S, Call);
   findExpired(S, Now);
   addRemovals(S, Pending, Call);
   // Ends count as stored once everything that they changed is.
--- /dev/null
+++ b/packages/scheduler/tests/unit-writes.cpp
@@ -0,0 +1,69 @@
+/// What the owner writes to the store, and in how many writes.
+#include "scheduler/scheduler.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::scheduler;
+
+namespace {
+
+constexpr TimePoint T0{std::chrono::seconds(1'000)};
+constexpr std::size_t MaxCallBytes = 2'000'000, MaxRecordBytes = 262'144;
+
+/// An owner that has \p Jobs jobs of one step with \p Tasks tasks to write.
+struct WritingOwner {
+  State State_ = makeState({}, {}, {});
+  TimePoint Now_ = T0;
+
+  WritingOwner(std::size_t Jobs, std::uint32_t Tasks) {
+    ledger::JobRow Row;
+    Row.Accepted_.Spec_.Steps_.resize(1);
+    Row.Accepted_.Spec_.Steps_[0].Count_ = Tasks;
+    for (std::size_t I = 0; I < Jobs; ++I)
+      onJob(State_, "j" + std::to_string(I), Row, false, Now_, 0);
+    // After a write that was refused, the progress of every job is written.
+    onWrite(State_, next().at(0).Id_, false, Now_);
+  }
+
+  std::vector<WriteCall> next() {
+    Now_ += Milliseconds(500);
+    Outbox Out;
+    tick(State_, Now_, 0, Out);
+    return Out.Writes_;
+  }
+};
+
+std::size_t bytesOf(const WriteCall &Call) {
+  constexpr std::size_t FrameBytes = 5;
+  std::size_t Bytes = 0;
+  for (const ledger::KeyedRecord &R : Call.Records_)
+    Bytes += FrameBytes + R.Key_.size() + R.Value_.size();
+  return Bytes;
+}
+
+} // namespace
+
+// Guards against an owner that writes without end: the store refused records
+// that were too long for one call, and the owner repeated just these.
+Test(writes, a_write_fits_into_a_call_and_the_rest_follows) {
+  constexpr std::size_t Jobs = 250;
+  WritingOwner O(Jobs, 10'000);
+  std::set<std::string> Written;
+  std::size_t Writes = 0;
+  for (auto Calls = O.next(); !Calls.empty(); Calls = O.next()) {
+    const WriteCall &Call = Calls.at(0);
+    cr_assert_leq(bytesOf(Call), MaxCallBytes - MaxRecordBytes);
+    for (const ledger::KeyedRecord &R : Call.Records_)
+      if (ledger::nameOf(R.Key_).Kind_ == ledger::RecordKind::Progress)
+        cr_assert(Written.insert(R.Key_).second, "%s", R.Key_.c_str());
+    onWrite(O.State_, Call.Id_, true, O.Now_);
+    cr_assert_leq(++Writes, Jobs);
+  }
+  cr_assert_eq(Written.size(), Jobs);
+}
+
+Test(writes, short_records_share_a_write) {
+  WritingOwner O(100, 10);
+  cr_assert_geq(O.next().at(0).Records_.size(), 100u);
+}
