Partitions of the job topic: their number comes from the store's settings

In stores of 16 or more a service keeps its partition: entries of both versions agree.

The process tests get a stand-in of the platform's store (tests/standins/store): three partitions here, others refused. With the old program, platform.py accepts_jobs_of_every_service gives up waiting for an entry.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -49,6 +49,7 @@
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
     Claims_.Options_.Cpu_ = Boot_.Cpu_;
     Intake_.Store_ = &Store_;
+    Intake_.TopicPartitions_ = Boot_.StorePartitions_;
     Intake_.Clock_ = now;
   }
 
@@ -176,7 +177,7 @@
         Level::Info, "config-in-force",
         {{"version", Catalog_.Version_}, {"queues", Catalog_.Queues_.size()}});
     for (const workflow::Service &S : Catalog_.Services_)
-      followPartition(intake::partitionOf(S.Name_));
+      followPartition(partitionOf(S.Name_));
     Slices_.onCatalog();
     postDueWork();
   }
@@ -236,15 +237,20 @@
     return Store_.announcesRecords() ? CopySpacing : UnannouncedSpacing;
   }
 
-  SliceContext contextFor(std::uint32_t Partition) {
+  std::uint32_t partitionOf(const ServiceName &Service) const {
+    return intake::partitionOf(Service, Boot_.StorePartitions_);
+  }
+
+  SliceContext contextFor(const ownership::SliceName &Slice) {
     Registry_.follow();
-    followPartition(Partition);
     SliceContext Context;
+    Context.PartitionNumber_ = partitionOf(Slice);
+    followPartition(Context.PartitionNumber_);
     Context.Client_ = &Client_;
     Context.Store_ = &Store_;
     Context.Catalog_ = &Catalog_;
     Context.Registry_ = &Registry_;
-    Context.Partition_ = &Intake_.Partitions_.at(Partition);
+    Context.Partition_ = &Intake_.Partitions_.at(Context.PartitionNumber_);
     Context.RequestAdvice_ = [this](scheduler::AdviceCall Call) {
       PolicyCalls_.enqueue(std::move(Call));
     };
@@ -418,7 +424,7 @@
 
   ownership::State Claims_;
   OwnedSlices Slices_{
-      [this](std::uint32_t Partition) { return contextFor(Partition); }};
+      [this](const ownership::SliceName &Slice) { return contextFor(Slice); }};
 
   bool DueWorkPosted_ = false;
   bool Stopping_ = false;
--- a/apps/pollenvale/fleet/owned_slices.cpp
+++ b/apps/pollenvale/fleet/owned_slices.cpp
@@ -42,9 +42,10 @@
                 {"claim", Claim.Number_},
                 {"generation", Claim.Generation_},
                 {"predecessor", toString(Claim.Predecessor_)}});
-  std::uint32_t Partition = intake::partitionOf(Slice);
-  auto Owner = std::make_shared<SliceOwner>(MakeContext_(Partition), Slice,
-                                            Partition, Claim, SelfFence);
+  SliceContext Context = MakeContext_(Slice);
+  std::uint32_t Partition = Context.PartitionNumber_;
+  auto Owner =
+      std::make_shared<SliceOwner>(std::move(Context), Slice, Claim, SelfFence);
   Owners_[Slice] = {Partition, Claim.Number_, std::move(Owner)};
 }
 
--- a/apps/pollenvale/fleet/owned_slices.hpp
+++ b/apps/pollenvale/fleet/owned_slices.hpp
@@ -9,8 +9,9 @@
 
 class OwnedSlices {
 public:
-  /// Creates the context of an owner whose jobs are in \p Partition.
-  using MakeContext = std::function<SliceContext(std::uint32_t Partition)>;
+  /// Creates the context of the owner of \p Slice.
+  using MakeContext =
+      std::function<SliceContext(const ownership::SliceName &Slice)>;
 
   explicit OwnedSlices(MakeContext Make) : MakeContext_(std::move(Make)) {}
 
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -22,13 +22,12 @@
 } // namespace
 
 SliceOwner::SliceOwner(SliceContext Context, ownership::SliceName Slice,
-                       std::uint32_t Partition, ownership::OwnedSlice Claim,
-                       Milliseconds SelfFence)
-    : Context_(std::move(Context)), Slice_(std::move(Slice)),
-      Partition_(Partition), Claim_(Claim), SelfFence_(SelfFence),
-      LogLimit_(LinesPerSecond) {
+                       ownership::OwnedSlice Claim, Milliseconds SelfFence)
+    : Context_(std::move(Context)), Slice_(std::move(Slice)), Claim_(Claim),
+      SelfFence_(SelfFence), LogLimit_(LinesPerSecond) {
   // Sequence number 0 is that of the fence.
-  Writer_ = {{intake::JobTopic, Partition_}, {Slice_, Claim_.Number_, 1}};
+  Writer_ = {{intake::JobTopic, Context_.PartitionNumber_},
+             {Slice_, Claim_.Number_, 1}};
 }
 
 void SliceOwner::loseSlice(const char *Reason) {
@@ -45,7 +44,7 @@
     return;
   FenceInFlight_ = true;
   ledger::AppendCall Call;
-  Call.Partition_ = {intake::JobTopic, Partition_};
+  Call.Partition_ = {intake::JobTopic, Context_.PartitionNumber_};
   Call.Fence_ = ledger::Fence{Slice_, Claim_.Number_, 0};
   Call.Records_ = {ledger::makeFence(Slice_, Claim_.Number_)};
   Context_.Store_->append(std::move(Call), [Self = shared_from_this()](
@@ -241,7 +240,7 @@
 }
 
 void SliceOwner::send(const scheduler::StartCall &C) {
-  Context_.Starts_->start(C, Partition_,
+  Context_.Starts_->start(C, Context_.PartitionNumber_,
                           whileRunning<scheduler::OrderReply>(
                               [C](auto &State, const auto &R, auto &Out) {
                                 scheduler::onStartReply(State, C, R, now(),
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -19,7 +19,8 @@
   ledger::Store *Store_ = nullptr;
   const workflow::Catalog *Catalog_ = nullptr;
   const WorkerRegistry *Registry_ = nullptr;
-  intake::PartitionCopy *Partition_ = nullptr; ///< Holds the slice's jobs.
+  std::uint32_t PartitionNumber_ = 0; ///< Partition of the slice's jobs.
+  intake::PartitionCopy *Partition_ = nullptr; ///< Copy of that partition.
   /// Queues a call to the placement policy.
   std::function<void(scheduler::AdviceCall)> RequestAdvice_;
   StartCalls *Starts_ = nullptr;
@@ -33,11 +34,10 @@
 /// Keeps itself alive while a call is in flight.
 class SliceOwner : public std::enable_shared_from_this<SliceOwner> {
 public:
-  /// \p Partition: partition of the slice's jobs. \p SelfFence: an owner that
-  /// has not read the claims for this long sends no more orders.
+  /// \p SelfFence: an owner that has not read the claims for this long sends no
+  /// more orders.
   SliceOwner(SliceContext Context, ownership::SliceName Slice,
-             std::uint32_t Partition, ownership::OwnedSlice Claim,
-             Milliseconds SelfFence);
+             ownership::OwnedSlice Claim, Milliseconds SelfFence);
 
   /// Sends every call that is due. \p MayOrder: the claim is known to be valid.
   /// \p StoreStale: the store has not been read recently.
@@ -88,7 +88,6 @@
 
   SliceContext Context_;
   ownership::SliceName Slice_;
-  std::uint32_t Partition_;
   ownership::OwnedSlice Claim_;
   Milliseconds SelfFence_;
   observe::LineLimit LogLimit_;
--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -70,8 +70,9 @@
 /// State of the calls of all callers of this entry.
 struct Intake {
   ledger::Store *Store_ = nullptr;
-  std::function<TimePoint()> Clock_; ///< Current time, read on each reply
-                                     ///< of the store.
+  std::uint32_t TopicPartitions_ = 1; ///< Partitions of the job topic.
+  std::function<TimePoint()> Clock_;  ///< Current time, read on each reply
+                                      ///< of the store.
   std::map<std::uint32_t, PartitionCopy> Partitions_; ///< By partition.
   std::list<PendingCall> PendingCalls_;
   std::list<std::shared_ptr<PendingWrite>> Writes_; ///< Unanswered writes.
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -208,8 +208,10 @@
 
 } // namespace
 
-std::uint32_t partitionOf(const ServiceName &Service) {
-  return std::uint32_t(stableHash(Service) % JobPartitions);
+std::uint32_t partitionOf(const ServiceName &Service,
+                          std::uint32_t TopicPartitions) {
+  return std::uint32_t(stableHash(Service) %
+                       std::min(TopicPartitions, MaxJobPartitions));
 }
 
 bool isStoreReachable(const Intake &State, TimePoint Now) {
@@ -223,7 +225,7 @@
 
 void submit(Intake &State, const workflow::Queue &Q, const JobId &Job,
             workflow::WorkflowSpec Spec, const CallTimes &T, Reply Done) {
-  std::uint32_t Partition = partitionOf(Q.Service_);
+  std::uint32_t Partition = partitionOf(Q.Service_, State.TopicPartitions_);
   if (findJob(State, Partition, Job)) {
     count(State.Counters_, "submit-known");
     Done({Outcome::Stored});
@@ -245,7 +247,7 @@
 
 void queryState(Intake &State, const workflow::Queue &Q, const JobId &Job,
                 const CallTimes &T, Reply Done) {
-  std::uint32_t Partition = partitionOf(Q.Service_);
+  std::uint32_t Partition = partitionOf(Q.Service_, State.TopicPartitions_);
   if (const ledger::ReplicatedJob *Row = findJob(State, Partition, Job)) {
     Done({Outcome::State, ledger::effectiveState(*Row)});
     return;
@@ -255,7 +257,7 @@
 
 void cancel(Intake &State, const workflow::Queue &Q, const JobId &Job,
             const CallTimes &T, Reply Done) {
-  std::uint32_t Partition = partitionOf(Q.Service_);
+  std::uint32_t Partition = partitionOf(Q.Service_, State.TopicPartitions_);
   if (const ledger::ReplicatedJob *Row = findJob(State, Partition, Job)) {
     storeCancellation(State, Partition, Job, *Row, T, std::move(Done));
     return;
@@ -264,7 +266,8 @@
 }
 
 std::size_t countPendingJobs(const Intake &State, const workflow::Queue &Q) {
-  auto It = State.Partitions_.find(partitionOf(Q.Service_));
+  auto It =
+      State.Partitions_.find(partitionOf(Q.Service_, State.TopicPartitions_));
   return It == State.Partitions_.end()
              ? 0
              : ledger::pendingJobs(It->second.Replica_, Q.Name_);
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -44,7 +44,7 @@
   Fixture() {
     Queue_.Name_ = "q";
     Queue_.Service_ = "s";
-    Partition_ = partitionOf("s");
+    Partition_ = partitionOf("s", Intake_.TopicPartitions_);
     Intake_.Store_ = &Store_;
     Intake_.Clock_ = [this] { return Now_; };
     read();
--- a/tests/formats/unit-answers.cpp
+++ b/tests/formats/unit-answers.cpp
@@ -47,7 +47,8 @@
     Catalog_.Queues_ = {{"q", "host", "/p/", "s", 0, 1, 1, 0, {}}};
     Intake_.Store_ = &Store_;
     Intake_.Clock_ = [] { return std::chrono::steady_clock::now(); };
-    intake::PartitionCopy &Copy = Intake_.Partitions_[intake::partitionOf("s")];
+    intake::PartitionCopy &Copy =
+        Intake_.Partitions_[intake::partitionOf("s", Intake_.TopicPartitions_)];
     Copy.Tail_.Reachable_ = true;
     Copy.Tail_.AnsweredAt_ = std::chrono::steady_clock::now();
     ledger::apply(
--- /dev/null
+++ b/tests/processes/platform.py
@@ -0,0 +1,195 @@
+"""Entries on the users' platform as real processes: `pollenvale --platform`
+against a stand-in of the store. No worker exists, so jobs stay queued.
+
+Usage: platform.py BUILD_FOLDER BASE_PORT
+"""
+import http.client
+import json
+import os
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+
+ENTRIES = 3
+PARTITIONS = 3  # Fewer than services, and than most stores have.
+SERVICES = [f"service-{i}" for i in range(8)]
+WAIT_S = 30  # Only ends a run that hangs.
+
+
+def call(port, method, path, body=None, host="caller.test"):
+    """One HTTP call; its code and body. Code 0 when there was no answer."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        connection.request(method, path, body, {"Host": host})
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    except OSError:
+        return 0, b""
+    finally:
+        connection.close()
+
+
+def until(what, condition):
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, f"gave up waiting: {what}"
+        time.sleep(0.05)
+
+
+def keyed_record(key, value):
+    rest = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(rest)) + rest
+
+
+class Cell:
+    """A store, the operator's configuration and some entries."""
+
+    def __init__(self, build, base):
+        self.build, self.base = build, base
+        self.folder = tempfile.mkdtemp(prefix="pollenvale-platform.")
+        self.processes = {}
+        self.start("store", [f"{build}/tests/standin_store", str(base), str(PARTITIONS)])
+        until("the store answers", lambda: self.store("{}") is not None)
+
+    def start(self, name, command):
+        output = open(f"{self.folder}/{name}.out", "ab")
+        self.processes[name] = subprocess.Popen(command, stdout=output, stderr=output)
+
+    def store(self, command):
+        """State of the store after a command to the stand-in; None without one."""
+        code, body = call(self.base, "POST", "/admin", command)
+        return json.loads(body) if code == 200 else None
+
+    def caller_port(self, entry):
+        return self.base + 10 * entry
+
+    def ready(self, entry):
+        return call(self.caller_port(entry) + 1, "GET", "/ready")
+
+    def metrics(self, entry):
+        return call(self.caller_port(entry) + 1, "GET", "/metrics")[1].decode()
+
+    def publish(self, version, services):
+        routes = [
+            {"name": f"q-{name}", "host": "caller.test", "pathPrefix": f"/{name}/",
+             "service": name, "maxAttempts": 3, "stretch": 2.0, "sloMs": 1000}
+            for name in services
+        ]
+        config = {"version": version, "routes": routes, "services": [{"name": name} for name in services]}
+        record = keyed_record("config", json.dumps(config).encode())
+        code, _ = call(self.base, "POST", "/log-append?topic=keyed.op&part=0", record)
+        assert code == 200, code
+
+    def start_entry(self, entry):
+        port = self.caller_port(entry)
+        settings = f"{self.folder}/e{entry}.boot"
+        with open(settings, "w") as out:
+            out.write(
+                f"nodeName=e{entry}\nip=127.0.0.1\nzone=north\n"
+                f"bindAddresses.frontend=127.0.0.1:{port}\n"
+                f"bindAddresses.readiness=127.0.0.1:{port + 1}\n"
+                f"internalPorts={port + 2},{port + 3}\n"
+                f"platform.address=127.0.0.1:{self.base}\nplatform.parts={PARTITIONS}\n"
+            )
+        self.start(f"e{entry}", [f"{self.build}/apps/pollenvale", "--platform", "-s", settings])
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes.pop(name).wait()
+
+    def wait_ready(self):
+        for entry in range(1, ENTRIES + 1):
+            until(f"entry {entry} is ready", lambda: self.ready(entry)[0] == 200)
+
+    def events(self, entry, name):
+        with open(f"{self.folder}/e{entry}.out") as lines:
+            return [line for line in lines if f'"event":"{name}"' in line]
+
+    def stop(self):
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+def submit(cell, entry, service, job):
+    body = json.dumps({"spec": "x", "steps": [{"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 100}]})
+    return call(cell.caller_port(entry), "POST", f"/{service}/{job}", body)
+
+
+def state(cell, entry, service, job):
+    return call(cell.caller_port(entry), "GET", f"/{service}/{job}")
+
+
+def job_id(number):
+    return f"{number:016x}"
+
+
+def accepts_jobs_of_every_service(cell):
+    """Guards against services whose jobs belong to a partition that the store
+    does not have: none of their jobs was ever accepted."""
+    cell.publish(1, SERVICES)
+    for entry in range(1, ENTRIES + 1):
+        cell.start_entry(entry)
+    cell.wait_ready()
+    for number, service in enumerate(SERVICES):
+        entry = 1 + number % ENTRIES
+        code, body = submit(cell, entry, service, job_id(number))
+        assert code == 200, (service, code, body)
+        code, body = state(cell, 1 + (number + 1) % ENTRIES, service, job_id(number))
+        assert (code, json.loads(body)["state"]) == (200, "queued"), (service, code, body)
+    assert cell.store("{}")["refused_partitions"] == 0
+    assert state(cell, 1, SERVICES[0], job_id(99))[0] == 410
+
+
+def remembers_jobs_after_all_entries_were_killed(cell):
+    """Guards against acknowledged jobs that only the killed processes knew."""
+    for entry in range(1, ENTRIES + 1):
+        cell.kill(f"e{entry}")
+    for entry in range(1, ENTRIES + 1):
+        cell.start_entry(entry)
+    cell.wait_ready()
+    for number, service in enumerate(SERVICES):
+        code, body = state(cell, 1, service, job_id(number))
+        assert (code, json.loads(body)["state"]) == (200, "queued"), (service, code, body)
+
+
+def cancels_once(cell):
+    """Guards against a cancellation that the other entries do not see."""
+    code, _ = call(cell.caller_port(1), "DELETE", f"/{SERVICES[0]}/{job_id(0)}")
+    assert code == 200, code
+
+    def cancelled():
+        return b"cancelled" in state(cell, 2, SERVICES[0], job_id(0))[1]
+
+    until("the cancellation is visible elsewhere", cancelled)
+
+
+TESTS = [
+    accepts_jobs_of_every_service,
+    remembers_jobs_after_all_entries_were_killed,
+    cancels_once,
+]
+
+
+def main():
+    cell = Cell(sys.argv[1], int(sys.argv[2]))
+    try:
+        for test in TESTS:
+            print(f"== platform: {test.__name__}", flush=True)
+            test(cell)
+    except AssertionError:
+        print(f"logs: {cell.folder}; end of each:")
+        for name in sorted(os.listdir(cell.folder)):
+            if name.endswith(".out"):
+                with open(f"{cell.folder}/{name}") as lines:
+                    print(name, *lines.readlines()[-5:], sep="\n  ")
+        raise
+    finally:
+        cell.stop()
+    print(f"{len(TESTS)} passed, 0 failed")
+
+
+main()
--- a/tools/test_processes.sh
+++ b/tools/test_processes.sh
@@ -129,4 +129,6 @@
 import json, sys
 stats = json.load(sys.stdin)
 assert stats["most_busy"] <= 8, stats["most_busy"]'
+step "entries on the users' platform, with a store of three partitions"
+python3 tests/processes/platform.py "$build" $((${1:-9300} + 200))
 echo "$passed passed, 0 failed"
