Writes stay within the limits that the store's settings give

A store whose limit of a call is under 1 MB would refuse the writes of an owner, which repeats them as they were, and batches of jobs. A job larger than a record got 503 with Retry-After, each time.

Appends of owners and entries are bounded by platform.callBytes; a job whose record, or whose progress at worst, exceeds platform.recordBytes gets 400 at once. The tests fail before: unit_intake (three), unit_scheduler writes.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -50,6 +50,7 @@
     Claims_.Options_.Cpu_ = Boot_.Cpu_;
     Intake_.Store_ = &Store_;
     Intake_.TopicPartitions_ = Boot_.StorePartitions_;
+    Intake_.StoreLimits_ = Boot_.StoreLimits_;
     Intake_.Clock_ = now;
   }
 
@@ -257,6 +258,7 @@
     Context.Starts_ = &Starts_;
     Context.PostDueWork_ = [this] { postDueWork(); };
     Context.MaxLease_ = Boot_.MaxLease_;
+    Context.StoreLimits_ = Boot_.StoreLimits_;
     Context.ClosedJobRetention_ = Boot_.ClosedJobRetention_ + ClosedJobsMargin;
     return Context;
   }
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -79,6 +79,7 @@
   Options.ClaimedAt_ = Claim_.ClaimedAt_;
   Options.MaxLease_ = Context_.MaxLease_;
   Options.KeepClosed_ = Context_.ClosedJobRetention_;
+  Options.StoreLimits_ = Context_.StoreLimits_;
   auto Stored = Copy.Rosters_.find(Slice_);
   ledger::Roster Roster =
       Stored == Copy.Rosters_.end() ? ledger::Roster{} : Stored->second;
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -29,6 +29,7 @@
   Milliseconds MaxLease_{10'000}; ///< Workers shorten longer leases.
   /// How long closed jobs are kept.
   Milliseconds ClosedJobRetention_{180'000};
+  ledger::StoreLimits StoreLimits_;
 };
 
 /// Keeps itself alive while a call is in flight.
--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -71,8 +71,9 @@
 struct Intake {
   ledger::Store *Store_ = nullptr;
   std::uint32_t TopicPartitions_ = 1; ///< Partitions of the job topic.
-  std::function<TimePoint()> Clock_;  ///< Current time, read on each reply
-                                      ///< of the store.
+  ledger::StoreLimits StoreLimits_;
+  std::function<TimePoint()> Clock_; ///< Current time, read on each reply
+                                     ///< of the store.
   std::map<std::uint32_t, PartitionCopy> Partitions_; ///< By partition.
   std::list<PendingCall> PendingCalls_;
   std::list<std::shared_ptr<PendingWrite>> Writes_; ///< Unanswered writes.
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -12,6 +12,8 @@
 /// Part of the caller's deadline that is reserved for delivering the answer.
 constexpr Milliseconds AnswerMargin{350};
 constexpr Milliseconds AppendTimeout{1'500};
+/// Larger appends delay those that other entries make to the partition.
+constexpr std::size_t MaxBatchBytes = 512 * 1'024;
 /// New jobs are rejected once the store has not answered for this long.
 constexpr Milliseconds MaxStoreSilence{2'600};
 
@@ -93,19 +95,20 @@
   sendNextBatch(State, Partition);
 }
 
-/// Removes the writes of the next append from \p Queue, until it is empty or
-/// the batch has reached the size limit.
-Batch takeBatch(PartitionQueue &Queue) {
-  constexpr std::size_t MaxBatchBytes = 512 * 1024;
+/// Removes the writes of the next append from \p Queue: as many as fit into
+/// \p MaxBytes, but at least one.
+Batch takeBatch(PartitionQueue &Queue, std::size_t MaxBytes) {
   Batch Out;
   std::size_t Bytes = 0;
-  while (!Queue.Unsent_.empty() && Bytes < MaxBatchBytes) {
+  while (!Queue.Unsent_.empty()) {
     std::shared_ptr<PendingWrite> Write = Queue.Unsent_.front();
+    if (!Write->Answered_) {
+      Bytes += ledger::callBytes(Write->Record_);
+      if (Bytes > MaxBytes && !Out.empty())
+        break;
+      Out.push_back(std::move(Write));
+    }
     Queue.Unsent_.pop_front();
-    if (Write->Answered_)
-      continue;
-    Bytes += Write->Record_.Value_.size();
-    Out.push_back(std::move(Write));
   }
   return Out;
 }
@@ -114,7 +117,8 @@
   PartitionQueue &Queue = State.PartitionQueues_[Partition];
   if (Queue.InFlight_)
     return;
-  Batch Next = takeBatch(Queue);
+  Batch Next =
+      takeBatch(Queue, std::min(MaxBatchBytes, State.StoreLimits_.CallBytes_));
   if (Next.empty())
     return;
   ledger::AppendCall Call;
@@ -206,6 +210,25 @@
     ledger::scheduleReadBy(Copy->second.Tail_, T.Now_);
 }
 
+/// True, or BadSpec if the store would refuse the record of the job, or that of
+/// its progress when all its tasks have failed several times.
+Result<bool> checkSize(const ledger::KeyedRecord &Record,
+                       const workflow::WorkflowSpec &Spec,
+                       const ledger::StoreLimits &Limits) {
+  if (ledger::recordBytes(Record) > Limits.RecordBytes_)
+    return makeError(ErrorKind::BadSpec,
+                     "job: " + std::to_string(ledger::recordBytes(Record)) +
+                         " bytes as stored, at most " +
+                         std::to_string(Limits.RecordBytes_));
+  std::size_t MaxTasks =
+      Limits.RecordBytes_ / workflow::MaxProgressBytesPerTask;
+  if (workflow::taskCount(Spec) > MaxTasks)
+    return makeError(ErrorKind::BadSpec,
+                     "steps: " + std::to_string(workflow::taskCount(Spec)) +
+                         " tasks, at most " + std::to_string(MaxTasks));
+  return true;
+}
+
 } // namespace
 
 std::uint32_t partitionOf(const ServiceName &Service,
@@ -239,10 +262,15 @@
                           "the store does not answer"));
     return;
   }
+  ledger::AcceptedJob Accepted{Q, T.NowUnixMs_, std::move(Spec)};
+  ledger::KeyedRecord Record = ledger::makeJob(Job, Accepted);
+  if (auto Ok = checkSize(Record, Accepted.Spec_, State.StoreLimits_); !Ok) {
+    count(State.Counters_, "submit-rejected-size");
+    Done({Outcome::Rejected, {}, Ok.error()});
+    return;
+  }
   count(State.Counters_, "submit");
-  ledger::AcceptedJob Record{Q, T.NowUnixMs_, std::move(Spec)};
-  addWrite(State, Partition, Job, false, ledger::makeJob(Job, Record), T,
-           std::move(Done));
+  addWrite(State, Partition, Job, false, std::move(Record), T, std::move(Done));
 }
 
 void queryState(Intake &State, const workflow::Queue &Q, const JobId &Job,
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -214,3 +214,47 @@
   F.Store_.answer(StoreStatus::Done);
   cr_assert_eq(F.Answers_.size(), 4u);
 }
+
+// Guards against an append that the store refuses each time, since its records
+// together exceed the limit of one call.
+Test(intake, records_of_one_append_fit_into_a_call) {
+  Fixture F;
+  constexpr std::size_t Jobs = 20, RecordsPerCall = 3;
+  std::size_t RecordBytes = ledger::callBytes(F.record());
+  F.Intake_.StoreLimits_.CallBytes_ = RecordBytes * RecordsPerCall + 50;
+  for (std::size_t I = 0; I < Jobs; ++I)
+    intake::submit(F.Intake_, F.Queue_, "j" + std::to_string(I), F.spec(),
+                   F.times(), F.reply());
+  while (!F.Store_.Open_.empty())
+    F.Store_.answer(StoreStatus::Done);
+  cr_assert_eq(F.Answers_.size(), Jobs);
+  for (const ledger::AppendCall &Call : F.Store_.Appends_) {
+    std::size_t Bytes = 0;
+    for (const ledger::KeyedRecord &R : Call.Records_)
+      Bytes += ledger::callBytes(R);
+    cr_assert_leq(Bytes, F.Intake_.StoreLimits_.CallBytes_);
+  }
+}
+
+// Guards against a caller that is told to try again with a job that the store
+// refuses each time.
+Test(intake, a_job_larger_than_a_record_is_rejected_at_once) {
+  Fixture F;
+  F.Intake_.StoreLimits_.RecordBytes_ = ledger::recordBytes(F.record()) - 1;
+  F.submit();
+  cr_assert(F.Store_.Appends_.empty());
+  cr_assert(F.Answers_.at(0).Error_.Kind_ == ErrorKind::BadSpec);
+}
+
+// Guards against a job whose progress can't be stored once its tasks fail.
+Test(intake, a_job_whose_progress_may_exceed_a_record_is_rejected) {
+  Fixture F;
+  F.Intake_.StoreLimits_.RecordBytes_ = 1'000;
+  workflow::WorkflowSpec Spec = F.spec();
+  Spec.Steps_[0].Count_ = 1'000 / workflow::MaxProgressBytesPerTask;
+  intake::submit(F.Intake_, F.Queue_, "j1", Spec, F.times(), F.reply());
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  ++Spec.Steps_[0].Count_;
+  intake::submit(F.Intake_, F.Queue_, "j2", Spec, F.times(), F.reply());
+  cr_assert(F.Answers_.at(0).Error_.Kind_ == ErrorKind::BadSpec);
+}
--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -23,6 +23,25 @@
   Offset Offset_ = 0; ///< Position in the partition; set on stored records.
 };
 
+/// Limits of the store. It refuses what exceeds them, at every repetition.
+struct StoreLimits {
+  /// Largest record in bytes: length of the key (1 byte), key and value.
+  std::size_t RecordBytes_ = 256 * 1'024;
+  /// Largest sum of the records of one append in bytes, with their lengths (4
+  /// bytes each).
+  std::size_t CallBytes_ = 2 * 1'024 * 1'024;
+};
+
+/// Bytes that count against StoreLimits::RecordBytes_.
+inline std::size_t recordBytes(const KeyedRecord &R) {
+  return 1 + R.Key_.size() + R.Value_.size();
+}
+/// Bytes that count against StoreLimits::CallBytes_.
+inline std::size_t callBytes(const KeyedRecord &R) {
+  constexpr std::size_t LengthBytes = 4;
+  return LengthBytes + recordBytes(R);
+}
+
 /// Outcome of a call to the store.
 enum class StoreStatus {
   Done,
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -167,6 +167,7 @@
   Milliseconds MaxLease_{10'000}; ///< Workers shorten longer leases to this.
   Milliseconds StartDeadline_{2'500}; ///< For a worker to begin a run.
   Milliseconds KeepClosed_{180'000};  ///< How long closed jobs are kept.
+  ledger::StoreLimits StoreLimits_;   ///< Of the writes.
 };
 
 /// Ends of one worker that may be acknowledged once a write is stored.
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -1,6 +1,8 @@
 #include "scheduler/detail/tasks.hpp"
 #include "scheduler/scheduler.hpp"
 
+#include <algorithm>
+
 namespace pollenvale::scheduler {
 
 namespace detail {
@@ -12,12 +14,15 @@
 /// Pause between a refused write and the next one.
 constexpr Milliseconds WriteRetryInterval{200};
 constexpr std::size_t MaxRecordsPerWrite = 200;
-/// Half of the limit of the store for one call. The last record of a write may
-/// exceed it.
+/// Larger writes delay the appends that other entries make to the partition.
 constexpr std::size_t MaxBytesPerWrite = 1'000'000;
 
-std::size_t recordBytes(const ledger::KeyedRecord &R) {
-  return R.Key_.size() + R.Value_.size();
+/// Bytes of a write at which no further progress is added to it. Leaves room
+/// for the largest record.
+std::size_t fullWriteBytes(const ledger::StoreLimits &Limits) {
+  std::size_t Room =
+      Limits.CallBytes_ - std::min(Limits.CallBytes_, Limits.RecordBytes_);
+  return std::min(MaxBytesPerWrite, Room);
 }
 
 /// Records that ends are stored, and renews at once if none is left to store.
@@ -51,16 +56,17 @@
 void addProgress(State &State, WriteCall &Call) {
   std::size_t Bytes = 0;
   for (const ledger::KeyedRecord &R : Call.Records_)
-    Bytes += recordBytes(R);
+    Bytes += ledger::callBytes(R);
+  std::size_t Full = fullWriteBytes(State.Options_.StoreLimits_);
   while (!State.DirtyJobs_.empty() &&
          Call.Records_.size() < MaxRecordsPerWrite &&
-         Bytes < MaxBytesPerWrite) {
+         (Bytes < Full || Call.Records_.empty())) {
     JobId Id = *State.DirtyJobs_.begin();
     State.DirtyJobs_.erase(State.DirtyJobs_.begin());
     Job &J = State.Jobs_.at(Id);
     J.Dirty_ = false;
     Call.Records_.push_back(ledger::makeProgress(Id, makeProgress(J)));
-    Bytes += recordBytes(Call.Records_.back());
+    Bytes += ledger::callBytes(Call.Records_.back());
   }
 }
 
--- a/packages/scheduler/tests/unit-writes.cpp
+++ b/packages/scheduler/tests/unit-writes.cpp
@@ -17,7 +17,9 @@
   State State_ = makeState({}, {}, {});
   TimePoint Now_ = T0;
 
-  WritingOwner(std::size_t Jobs, std::uint32_t Tasks) {
+  WritingOwner(std::size_t Jobs, std::uint32_t Tasks,
+               ledger::StoreLimits Limits = {}) {
+    State_.Options_.StoreLimits_ = Limits;
     ledger::ReplicatedJob Row;
     Row.Accepted_.Spec_.Steps_.resize(1);
     Row.Accepted_.Spec_.Steps_[0].Count_ = Tasks;
@@ -69,3 +71,23 @@
   WritingOwner O(100, 10);
   cr_assert_geq(O.next().at(0).Records_.size(), 100u);
 }
+
+// Guards against endless writes to a store whose limit of a call is lower than
+// usual.
+Test(writes, a_write_fits_into_a_call_of_any_store) {
+  constexpr std::size_t Jobs = 40;
+  for (std::size_t CallBytes : {30'000u, 60'000u, 200'000u}) {
+    ledger::StoreLimits Limits{CallBytes / 2, CallBytes};
+    WritingOwner O(Jobs, 1'000, Limits);
+    std::set<std::string> Written;
+    for (auto Calls = O.next(); !Calls.empty(); Calls = O.next()) {
+      const WriteCall &Call = Calls.at(0);
+      cr_assert_leq(bytesOf(Call), CallBytes);
+      for (const ledger::KeyedRecord &R : Call.Records_)
+        if (ledger::nameOf(R.Key_).Kind_ == ledger::RecordKind::Progress)
+          cr_assert(Written.insert(R.Key_).second, "%s", R.Key_.c_str());
+      onWriteReply(O.State_, Call.Id_, true, O.Now_);
+    }
+    cr_assert_eq(Written.size(), Jobs);
+  }
+}
--- a/packages/workflow/detail/spec.hpp
+++ b/packages/workflow/detail/spec.hpp
@@ -61,9 +61,10 @@
 inline constexpr std::size_t MaxPayloadBytes = 4'000;
 inline constexpr std::size_t MaxSteps = 256;
 inline constexpr std::uint32_t MaxTasksPerStep = 10'000;
-/// Tasks of all steps together. Bounds the stored progress: with 4 recorded
-/// failures of each task it fits into a record of 256 KiB.
+/// Tasks of all steps together.
 inline constexpr std::size_t MaxTasksPerOccurrence = 10'000;
+/// Stored progress of a task with 4 recorded failures.
+inline constexpr std::size_t MaxProgressBytesPerTask = 26;
 inline constexpr std::uint32_t MaxRepeats = 10'000;
 
 /// Returns true, or BadSpec with the position and value of the first invalid
