Readiness: say once why an entry accepts nothing

Now not-ready and ready are logged once a change, with the reason, the partitions and the number of rejected calls; /ready has the reason in its body; store-read-failed is logged once an outage and then once a minute, store-read-resumed with the number of failures.

--- a/apps/pollenvale/fleet/caller_service.cpp
+++ b/apps/pollenvale/fleet/caller_service.cpp
@@ -30,9 +30,12 @@
     Send(std::move(Reply));
   };
   platform::CallerRequest Call = platform::parseCaller(Request);
-  if (!HasCatalog_ || !CopiesLoaded)
+  if (!HasCatalog_)
     return Respond(platform::errorReply(
         makeError(ErrorKind::NoConfig, "no configuration yet")));
+  if (!CopiesLoaded)
+    return Respond(platform::errorReply(
+        makeError(ErrorKind::LogUnavailable, "the jobs are not loaded yet")));
   const workflow::Queue *Queue =
       workflow::findQueue(Catalog_, Call.Host_, Call.Path_);
   if (!Queue)
--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -2,10 +2,11 @@
 
 #include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
-#include "fleet/follower.hpp"
+#include "fleet/job_copies.hpp"
 #include "fleet/loop_watch.hpp"
 #include "fleet/owned_slices.hpp"
 #include "fleet/policy_calls.hpp"
+#include "fleet/readiness.hpp"
 #include "fleet/worker_registry.hpp"
 #include "observe/observe.hpp"
 #include "process.hpp"
@@ -29,7 +30,6 @@
 constexpr Milliseconds CopySpacing{1'000};
 /// The same in a fleet too large for writers to announce their records.
 constexpr Milliseconds UnannouncedSpacing{500};
-constexpr Milliseconds CopyWait{1'000}; ///< How long a read waits for records.
 constexpr Milliseconds OwnerSpacing{100};
 constexpr Milliseconds ClaimWait{700};
 constexpr Milliseconds ClaimSpacing{200};
@@ -82,9 +82,7 @@
     Ports.AnnouncedTopic_ = intake::JobTopic;
     Ports.OnStored_ = [this](std::uint32_t Partition,
                              std::vector<ledger::KeyedRecord> Records) {
-      auto It = PartitionFollowers_.find(Partition);
-      if (It != PartitionFollowers_.end())
-        It->second->deliver(std::move(Records));
+      Copies_.deliver(Partition, std::move(Records));
     };
     Ports.OnPeerSuspected_ = std::bind_front(&PeerChannel::suspect, &Peers_);
     return Ports;
@@ -102,7 +100,7 @@
     CallerServer_ = Listen(
         splitAddress(Boot_.CallerAddress_),
         [this](const http::ServerRequest &R, const http::Responder &Respond) {
-          Service_.serve(R, Respond, copiesLoaded());
+          serveCaller(R, Respond);
         });
     const std::string &Self = Claims_.Options_.Address_;
     Peers_.open(Self);
@@ -113,50 +111,22 @@
     });
   }
 
-  std::shared_ptr<Follower> follow(ledger::Tail &Tail,
-                                   ledger::TailOptions Options,
-                                   FollowerEvents Events) {
-    Tail.Options_ = std::move(Options);
-    auto F = std::make_shared<Follower>(Store_, Tail, std::move(Events));
-    F->poll();
-    return F;
-  }
-
   void followConfig() {
-    ConfigFollower_ = follow(
-        ConfigTail_, {{platform::OperatorTopic, 0}, ConfigWait, {}},
+    ConfigFollower_ = startFollower(
+        Store_, ConfigTail_, {{platform::OperatorTopic, 0}, ConfigWait, {}},
         {[this](const ledger::KeyedRecord &R) { onConfig(R); }, {}, [] {}});
   }
 
   void followClaims() {
-    ClaimFollower_ =
-        follow(ClaimTail_, {{ClaimTopic, 0}, ClaimWait, ClaimSpacing},
-               {[this](const ledger::KeyedRecord &R) {
-                  ownership::onRecord(Claims_, R, now());
-                },
-                {},
-                [this] {
-                  ownership::onContact(Claims_, ClaimTail_.CurrentAt_, now());
-                  postDueWork();
-                }});
-  }
-
-  void followPartition(std::uint32_t Number) {
-    auto [It, New] = Intake_.Partitions_.try_emplace(Number);
-    if (!New)
-      return;
-    PartitionFollowers_[Number] = follow(
-        It->second.Tail_, {{intake::JobTopic, Number}, CopyWait, CopySpacing},
-        {[this, Number](const ledger::KeyedRecord &R) {
-           onJobRecord(Number, R);
+    ClaimFollower_ = startFollower(
+        Store_, ClaimTail_, {{ClaimTopic, 0}, ClaimWait, ClaimSpacing},
+        {[this](const ledger::KeyedRecord &R) {
+           ownership::onRecord(Claims_, R, now());
          },
          {},
-         [this, Number] {
-           intake::onCopyUpdated(Intake_, Number, now());
+         [this] {
+           ownership::onContact(Claims_, ClaimTail_.CurrentAt_, now());
            postDueWork();
-         },
-         [this, Number] {
-           ledger::beginLoad(Intake_.Partitions_.at(Number).Replica_);
          }});
   }
 
@@ -178,18 +148,11 @@
         Level::Info, "config-in-force",
         {{"version", Catalog_.Version_}, {"queues", Catalog_.Queues_.size()}});
     for (const workflow::Service &S : Catalog_.Services_)
-      followPartition(partitionOf(S.Name_));
+      Copies_.follow(partitionOf(S.Name_));
     Slices_.onCatalog();
     postDueWork();
   }
 
-  void onJobRecord(std::uint32_t Number, const ledger::KeyedRecord &R) {
-    intake::PartitionCopy &Copy = Intake_.Partitions_.at(Number);
-    ledger::Change Change = ledger::apply(Copy.Replica_, R);
-    if (Change.Kind_ != ledger::Change::Kind::None)
-      Slices_.onRecord(Number, Change);
-  }
-
   std::set<ownership::SliceName> wantedSlices() const {
     std::set<ownership::SliceName> Out;
     for (const workflow::Service &S : Catalog_.Services_)
@@ -246,7 +209,7 @@
     Registry_.follow();
     SliceContext Context;
     Context.PartitionNumber_ = partitionOf(Slice);
-    followPartition(Context.PartitionNumber_);
+    Copies_.follow(Context.PartitionNumber_);
     Context.Client_ = &Client_;
     Context.Store_ = &Store_;
     Context.Catalog_ = &Catalog_;
@@ -263,6 +226,16 @@
     return Context;
   }
 
+  void serveCaller(const http::ServerRequest &R,
+                   const http::Responder &Respond) {
+    bool Loaded = unloadedPartitions(Intake_).empty();
+    if (!HasCatalog_ || !Loaded) {
+      count(Counters_, "not-ready-rejected");
+      ReadinessLog_.addRejected();
+    }
+    Service_.serve(R, Respond, Loaded);
+  }
+
   void onReadiness(const http::ServerRequest &R,
                    const http::Responder &Respond) {
     if (R.Path_ == "/metrics") {
@@ -270,9 +243,12 @@
       Reply.ContentType_ = "text/plain";
       return Respond(std::move(Reply));
     }
-    bool Ready = !Stopping_ && HasCatalog_ && copiesLoaded() &&
-                 intake::isStoreReachable(Intake_, now());
-    Respond({Ready ? 200 : 503, Ready ? "{}" : R"({"error":"not ready"})"});
+    Readiness State = readiness();
+    bool Ready = State == Readiness::Ready;
+    std::string Reason(toString(State));
+    Respond(
+        {Ready ? 200 : 503,
+         Ready ? "{}" : R"({"error":"not ready","reason":")" + Reason + "\"}"});
   }
 
   std::string metrics() const {
@@ -290,11 +266,8 @@
     return observe::expose(All) + LoopWatch_.expose();
   }
 
-  bool copiesLoaded() const {
-    for (const auto &[Number, Copy] : Intake_.Partitions_)
-      if (!Copy.Tail_.Loaded_)
-        return false;
-    return true;
+  Readiness readiness() const {
+    return readinessOf({Stopping_, HasCatalog_}, Intake_, now());
   }
 
   void postDueWork() {
@@ -330,6 +303,7 @@
       if (Err)
         return;
       LoopWatch_.onTick(now());
+      ReadinessLog_.update(readiness(), Intake_, now());
       tickClaims();
       relay::setPeers(Store_.Router_, ownership::peerAddresses(Claims_));
       Store_.tick();
@@ -337,8 +311,7 @@
       for (auto &F : {ConfigFollower_, ClaimFollower_})
         F->poll();
       Registry_.poll();
-      for (auto &[Number, F] : PartitionFollowers_)
-        F->poll();
+      Copies_.poll();
       runDueWork();
       if (!isStopped())
         scheduleTick();
@@ -397,6 +370,7 @@
   std::unique_ptr<http::Client> Http_;
   platform::Client Client_;
   LoopWatch LoopWatch_{TickInterval, *Http_};
+  ReadinessLog ReadinessLog_;
   std::unique_ptr<http::Server> ReadinessServer_;
   std::unique_ptr<http::Server> CallerServer_;
 
@@ -407,8 +381,17 @@
   bool HasCatalog_ = false;
   ledger::Tail ConfigTail_, ClaimTail_;
   std::shared_ptr<Follower> ConfigFollower_, ClaimFollower_;
-  std::map<std::uint32_t, std::shared_ptr<Follower>> PartitionFollowers_;
   intake::Intake Intake_;
+  JobCopies Copies_{
+      Store_,
+      Intake_,
+      {[this](std::uint32_t Partition, const ledger::Change &Change) {
+         Slices_.onRecord(Partition, Change);
+       },
+       [this](std::uint32_t Partition) {
+         intake::onCopyUpdated(Intake_, Partition, now());
+         postDueWork();
+       }}};
   PolicyCalls PolicyCalls_{Peers_, Client_, Counters_,
                            [this](const scheduler::AdviceCall &Call,
                                   const scheduler::AdviceReply &Reply) {
--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -39,11 +39,7 @@
   }
   if (ledger::onNewest(Tail_, Reply, now()) && Events_.OnLoaded_)
     Events_.OnLoaded_(LoadedKeys_);
-  if (Tail_.Reachable_)
-    Events_.OnAnswer_();
-  else
-    logFailure();
-  poll();
+  onAnswered(ledger::toString(Reply.Status_));
 }
 
 void Follower::onRead(const ledger::ReadReply &Reply) {
@@ -59,26 +55,48 @@
         Events_.OnRecord_(R);
   for (const ledger::KeyedRecord &R : ledger::takeBufferedRecords(Tail_))
     Events_.OnRecord_(R);
-  if (Tail_.Reachable_)
+  onAnswered(ledger::toString(Reply.Status_));
+}
+
+void Follower::onAnswered(std::string_view Status) {
+  if (Tail_.Reachable_) {
+    noteSuccess();
     Events_.OnAnswer_();
-  else
-    logFailure();
+  } else {
+    noteFailure(Status);
+  }
   poll();
 }
 
-void Follower::logFailure() {
-  constexpr Milliseconds Interval{1'000};
-  if (now() - LoggedAt_ < Interval)
+void Follower::noteFailure(std::string_view Status) {
+  constexpr std::chrono::minutes Interval{1};
+  if (Failures_ == 0)
+    FailingSince_ = now();
+  ++Failures_;
+  if (Failures_ > 1 && now() - LoggedAt_ < Interval)
     return;
   LoggedAt_ = now();
   observe::log(observe::Level::Warning, "store-read-failed",
                {{"topic", Tail_.Options_.Partition_.Topic_},
                 {"partition", Tail_.Options_.Partition_.Number_},
+                {"status", Status},
+                {"failures", Failures_},
                 {"next", Tail_.Next_},
                 {"took_ms", elapsed(Tail_.SentAt_, now()).count()},
                 {"behind_ms", elapsed(Tail_.CurrentAt_, now()).count()}});
 }
 
+void Follower::noteSuccess() {
+  if (Failures_ == 0)
+    return;
+  observe::log(observe::Level::Info, "store-read-resumed",
+               {{"topic", Tail_.Options_.Partition_.Topic_},
+                {"partition", Tail_.Options_.Partition_.Number_},
+                {"failures", Failures_},
+                {"after_ms", elapsed(FailingSince_, now()).count()}});
+  Failures_ = 0;
+}
+
 void Follower::deliver(std::vector<ledger::KeyedRecord> Records) {
   if (Stopped_)
     return;
@@ -89,4 +107,14 @@
     Events_.OnAnswer_();
 }
 
+std::shared_ptr<Follower> startFollower(ledger::Store &Store,
+                                        ledger::Tail &Tail,
+                                        ledger::TailOptions Options,
+                                        FollowerEvents Events) {
+  Tail.Options_ = std::move(Options);
+  auto F = std::make_shared<Follower>(Store, Tail, std::move(Events));
+  F->poll();
+  return F;
+}
+
 } // namespace pollenvale::fleet
--- a/apps/pollenvale/fleet/follower.hpp
+++ b/apps/pollenvale/fleet/follower.hpp
@@ -39,15 +39,28 @@
 private:
   void onNewest(const ledger::NewestReply &Reply);
   void onRead(const ledger::ReadReply &Reply);
-  /// Logs a failed read, at most once a second.
-  void logFailure();
+  /// Called after each answer has been processed. \p Status: as logged.
+  void onAnswered(std::string_view Status);
+  /// Logs the first of consecutive failed reads, then one a minute.
+  void noteFailure(std::string_view Status);
+  /// Logs the end of consecutive failed reads, and their number.
+  void noteSuccess();
 
   ledger::Store &Store_;
   ledger::Tail &Tail_;
   FollowerEvents Events_;
   std::set<std::string> LoadedKeys_;
   bool Stopped_ = false;
-  TimePoint LoggedAt_{}; ///< Time of the last logged failure.
+  std::uint64_t Failures_ = 0; ///< Consecutive failed reads.
+  TimePoint FailingSince_{};   ///< Time of the first of them.
+  TimePoint LoggedAt_{};       ///< Time of the last logged failure.
 };
 
+/// Follows the partition that \p Options name. The referenced objects must
+/// outlive the follower.
+std::shared_ptr<Follower> startFollower(ledger::Store &Store,
+                                        ledger::Tail &Tail,
+                                        ledger::TailOptions Options,
+                                        FollowerEvents Events);
+
 } // namespace pollenvale::fleet
--- a/tests/processes/platform.py
+++ b/tests/processes/platform.py
@@ -144,6 +144,27 @@
     assert state(cell, 1, SERVICES[0], job_id(99))[0] == 410
 
 
+def names_the_reason_while_not_ready(cell):
+    """Guards against an entry that accepts nothing and says so to nobody, or says
+    so in a line for each attempt."""
+    cell.store('{"mode":"down"}')
+    until("entry 1 is not ready", lambda: cell.ready(1)[0] == 503)
+    assert json.loads(cell.ready(1)[1])["reason"] == "store-unreachable"
+    code, body = submit(cell, 1, SERVICES[0], job_id(50))
+    assert code == 503, (code, body)
+    time.sleep(3)
+    cell.store('{"mode":"up"}')
+    cell.wait_ready()
+    lost = [json.loads(line) for line in cell.events(1, "not-ready")]
+    assert [line["reason"] for line in lost].count("store-unreachable") == 1, lost
+    partitions = len(cell.store("{}")["records"])
+    failed = cell.events(1, "store-read-failed")
+    assert 0 < len(failed) <= partitions, failed
+    resumed = [json.loads(line) for line in cell.events(1, "store-read-resumed")]
+    assert resumed and max(line["failures"] for line in resumed) > 1, resumed
+    assert state(cell, 1, SERVICES[0], job_id(50))[0] == 410
+
+
 def remembers_jobs_after_all_entries_were_killed(cell):
     """Guards against acknowledged jobs that only the killed processes knew."""
     for entry in range(1, ENTRIES + 1):
@@ -169,6 +190,7 @@
 
 TESTS = [
     accepts_jobs_of_every_service,
+    names_the_reason_while_not_ready,
     remembers_jobs_after_all_entries_were_killed,
     cancels_once,
 ]
