Graceful stop: the linger ends before the process is killed

An entry lingers 3.5 s after SIGTERM, also where bounds.graceS gives it less time; then SIGKILL cuts off what is in flight. The linger is now bounded by the grace.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
+#include "fleet/graceful_stop.hpp"
 #include "fleet/job_copies.hpp"
 #include "fleet/loop_watch.hpp"
 #include "fleet/owned_slices.hpp"
@@ -36,8 +37,6 @@
 constexpr Milliseconds ConfigWait{1'000};
 /// Added to the time in which callers may ask for the state of a closed job.
 constexpr Milliseconds ClosedJobsMargin{60'000};
-/// Time for the balancer to notice that a stopping entry is not ready.
-constexpr Milliseconds StopLinger{3'500};
 
 class Entry {
 public:
@@ -351,12 +350,12 @@
   }
 
   bool isStopped() const {
-    if (!Stopping_ || now() - StoppingSince_ < StopLinger)
+    StopTimes Times = stopTimes(Boot_.StopGrace_);
+    if (!Stopping_ || now() - StoppingSince_ < Times.Linger_)
       return false;
     bool Idle = Intake_.InFlight_ == 0 && Intake_.PendingCalls_.empty() &&
                 CallerServer_->unwritten() == 0;
-    constexpr Milliseconds KillMargin{700};
-    return Idle || now() - StoppingSince_ > Boot_.StopGrace_ - KillMargin;
+    return Idle || now() - StoppingSince_ > Times.Limit_;
   }
 
 public:
