Placement: look at permitted workers only while the policy is being asked

Pattern: many steps wait for the policy, each on a fleet of hundreds. A pass looked at every worker for every waiting step, up to 200 passes a second, though a step with a call in flight can start on workers with a valid permit only.

Such a step now looks at its permits; whether any worker has room ends at the first that has, and matters for services and large tasks only. Reservations are summed once a pass instead of once a step.

--- a/bench/bench_scheduler.cpp
+++ b/bench/bench_scheduler.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// Processor time of an owner per task that it runs to its end, by the number
 /// of its workers: the pure scheduler, with workers that answer at once and a
-/// store that takes every write. Each worker starts two tasks a second.
+/// store that takes every write. Each worker starts two tasks a second. In the
+/// second case, services that the policy allows on few workers wait meanwhile.
 #include "fleet/fake_worker.hpp"
 
 #include <benchmark/benchmark.h>
@@ -24,10 +25,12 @@
 namespace {
 
 constexpr std::uint32_t TasksPerStep = 5;
+constexpr std::uint32_t TasksPerService = 60;
 constexpr std::uint32_t TasksPerJob = 2 * TasksPerStep;
 constexpr Milliseconds AnswerTime{2};
 constexpr Milliseconds WriteTime{9};
 constexpr Milliseconds AdviceTime{60};
+constexpr Milliseconds ServiceAdviceTime{800};
 
 workflow::Queue makeQueue(const std::string &Name, bool Advised) {
   workflow::Queue Q;
@@ -46,6 +49,9 @@
 public:
   explicit Cell(int Workers) : Workers_(Workers) {
     Catalog_.Queues_ = {makeQueue("plain", false), makeQueue("advised", true)};
+    Services_ = makeQueue("services", true);
+    Services_.Advice_->DecisionMs_ = 500;
+    Catalog_.Queues_.push_back(Services_);
     scheduler::Options O;
     O.Slice_ = "s";
     O.Token_ = 1;
@@ -74,6 +80,23 @@
     }
   }
 
+  /// Submits services that the policy allows on few workers.
+  void submitServices(int Count) {
+    workflow::WorkflowSpec Spec;
+    workflow::StepSpec S;
+    S.Count_ = TasksPerService;
+    S.Size_ = {100, 100, 0};
+    S.MaxPerWorker_ = 1;
+    S.LongRunning_ = true;
+    Spec.Steps_ = {S};
+    for (int I = 0; I < Count; ++I) {
+      ledger::ReplicatedJob Row;
+      Row.Accepted_ = {Services_, 0, Spec};
+      JobId Id = "service-" + std::to_string(I);
+      scheduler::onJob(State_, Id, Row, false, Now_, 0);
+    }
+  }
+
   Clock::duration Spent_{}; ///< Processor time of the owner.
   Clock::duration SpentInTicks_{};
   std::uint64_t ended() const {
@@ -117,7 +140,8 @@
       Spec.Steps_.push_back(std::move(S));
     }
     ledger::ReplicatedJob Row;
-    Row.Accepted_ = {Catalog_.Queues_[NextJob_ % 2], 0, std::move(Spec)};
+    Row.Accepted_ = {Catalog_.Queues_[std::size_t(NextJob_ % 2)], 0,
+                     std::move(Spec)};
     charge([&] { scheduler::onJob(State_, Id, Row, false, Now_, 0); });
   }
 
@@ -150,7 +174,8 @@
     for (auto &C : Out.Renewals_)
       at(AnswerTime, [this, C, Since = Now_] { answer(C, Since); });
     for (auto &C : Out.Advice_)
-      at(AdviceTime, [this, C] { answer(C); });
+      at(C.LongRunning_ ? ServiceAdviceTime : AdviceTime,
+         [this, C] { answer(C); });
     for (auto &C : Out.Writes_)
       at(WriteTime, [this, Id = C.Id_] {
         charge([&] { scheduler::onWriteReply(State_, Id, true, Now_); });
@@ -158,7 +183,10 @@
   }
 
   fleettest::TaskTraits nature() {
-    return {[this](const workflow::TaskId &, std::uint32_t) {
+    return {[this](const workflow::TaskId &Id, std::uint32_t) {
+              constexpr Milliseconds Lasting{1'000'000};
+              if (Id.Step_.Job_.starts_with("service"))
+                return fleettest::Fate{Lasting};
               return fleettest::Fate{
                   Milliseconds(200 + std::int64_t(Random_.below(800)))};
             },
@@ -189,13 +217,14 @@
   void answer(const scheduler::AdviceCall &C) {
     scheduler::AdviceReply Reply{true, {}, Milliseconds(2'000)};
     for (const WorkerId &W : C.Workers_)
-      if (Random_.below(4) != 0)
+      if (Random_.below(4) != 0 && (!C.LongRunning_ || Random_.below(100) == 0))
         Reply.Rows_.push_back({W, "permit-" + W});
     charge([&] { scheduler::onAdviceReply(State_, C, Reply, Now_); });
   }
 
   int Workers_;
   workflow::Catalog Catalog_;
+  workflow::Queue Services_;
   scheduler::State State_;
   std::map<WorkerId, fleettest::FakeWorker> Fleet_;
   TimePoint Now_{std::chrono::seconds(1'000)};
@@ -211,6 +240,7 @@
 /// One iteration is a second of the cell's time.
 void runTasks(benchmark::State &State) {
   Cell C(int(State.range(0)));
+  C.submitServices(int(State.range(1)));
   C.run(Milliseconds(5'000));
   std::uint64_t Before = C.ended();
   auto InTicksBefore = C.SpentInTicks_;
@@ -235,9 +265,12 @@
 } // namespace
 
 BENCHMARK(runTasks)
-    ->Arg(35)
-    ->Arg(63)
-    ->Arg(252)
+    ->ArgNames({"workers", "services"})
+    ->Args({35, 0})
+    ->Args({63, 0})
+    ->Args({252, 0})
+    ->Args({792, 0})
+    ->Args({792, 10})
     ->Iterations(10)
     ->UseManualTime()
     ->Unit(benchmark::kMillisecond);
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -1,4 +1,4 @@
-#include "scheduler/detail/placing.hpp"
+#include "scheduler/detail/placement_pass.hpp"
 #include "scheduler/detail/sorted_lookup.hpp"
 #include "scheduler/detail/tasks.hpp"
 #include "scheduler/detail/trace.hpp"
@@ -13,46 +13,10 @@
 constexpr Milliseconds MinPlacementInterval{5};
 /// Interval of passes without an event: permits and avoidance just expire.
 constexpr Milliseconds RecheckInterval{60};
-/// Minimum remaining validity of a permit when its start is sent.
-constexpr Milliseconds PermitMargin{120};
 /// Added to the interval per waiting step, as a pass visits each of them.
 constexpr std::chrono::microseconds IntervalPerStep{50};
 constexpr Milliseconds MaxPlacementInterval{25};
 
-/// A worker that accepts tasks, and its free resources during the pass.
-struct OpenWorker {
-  Worker *Worker_ = nullptr;
-  Resources Free_;
-};
-
-/// A step with tasks to start, and the objects that it belongs to.
-struct WaitingStep {
-  WaitOrderKey Key_;
-  StepId Id_;
-  Job *Job_ = nullptr;
-  const Occurrence *Occurrence_ = nullptr;
-  Step *Step_ = nullptr;
-  const workflow::StepSpec *Spec_ = nullptr;
-  Resources Size_; ///< Resources charged for one task.
-};
-
-/// One placement pass over all waiting steps.
-struct Pass {
-  State &State_;
-  TimePoint Now_;
-  Outbox &Out_;
-  std::vector<OpenWorker> Open_; ///< Sorted by worker id.
-};
-
-Pass makePass(State &State, TimePoint Now, Outbox &Out) {
-  Pass Pass{State, Now, Out, {}};
-  Pass.Open_.reserve(State.Workers_.size());
-  for (auto &[Name, W] : State.Workers_)
-    if (acceptsTasks(W, Now))
-      Pass.Open_.push_back({&W, freeResources(W)});
-  return Pass;
-}
-
 std::vector<WaitingStep> orderWaitingSteps(State &State, TimePoint Now) {
   std::vector<WaitingStep> Out;
   Out.reserve(State.WaitingSteps_.size());
@@ -73,104 +37,6 @@
   return Out;
 }
 
-std::uint32_t tasksOn(const Worker &W, const StepId &Id) {
-  auto It = W.Tasks_.lower_bound(TaskId{Id, 0});
-  std::uint32_t Count = 0;
-  for (; It != W.Tasks_.end() && It->Step_ == Id; ++It)
-    ++Count;
-  return Count;
-}
-
-using ReservedRoom = std::map<std::string_view, Resources>;
-
-/// Resources reserved for steps other than \p Id, by worker.
-ReservedRoom reservedByOthers(const State &State, const StepId &Id) {
-  ReservedRoom Out;
-  for (const Reservation &R : State.Reservations_)
-    if (!(R.Step_ == Id))
-      Out[R.Worker_] += R.Room_;
-  return Out;
-}
-
-/// canHost() of tasks.hpp for a worker that is known to accept tasks.
-bool canHost(const Worker &W, const WaitingStep &Ready) {
-  return W.Info_.Service_ == Ready.Job_->Queue_.Service_ &&
-         fits(Ready.Size_, W.Info_.Capacity_) &&
-         (Ready.Spec_->RequiredLabel_.empty() ||
-          W.Info_.Labels_.count(Ready.Spec_->RequiredLabel_));
-}
-
-void dropReservations(State &State, const StepId &Id) {
-  std::erase_if(State.Reservations_,
-                [&](const Reservation &R) { return R.Step_ == Id; });
-}
-
-/// Keeps short tasks from filling the room before the policy answers.
-void reserveAdvisedWorkers(State &State, const AdviceCall &Call,
-                           const Resources &Size, TimePoint Now) {
-  constexpr Milliseconds AnswerMargin{400};
-  dropReservations(State, Call.Step_);
-  for (const WorkerId &W : Call.Workers_)
-    State.Reservations_.push_back(
-        {Call.Step_, W, Size, Now + Call.Expected_ + AnswerMargin});
-}
-
-/// Reserves the eligible worker with the most free resources for the step.
-void reserveFreestWorker(Pass &Pass, const WaitingStep &Ready) {
-  constexpr Milliseconds MaxHold{300};
-  const OpenWorker *Best = nullptr;
-  std::tuple<bool, std::int64_t, std::int64_t> BestRank;
-  for (const OpenWorker &O : Pass.Open_) {
-    auto Rank = std::tuple(true, O.Free_.Accelerators_, O.Free_.Cpu_);
-    if ((Best && Rank <= BestRank) || !canHost(*O.Worker_, Ready))
-      continue;
-    const WorkerId &Name = O.Worker_->Info_.Id_;
-    std::get<bool>(Rank) = Ready.Step_->Permits_.count(Name) > 0;
-    bool Allowed =
-        !Ready.Step_->Denied_.count(Name) &&
-        (Ready.Spec_->MaxPerWorker_ == 0 ||
-         tasksOn(*O.Worker_, Ready.Id_) < Ready.Spec_->MaxPerWorker_);
-    if (Allowed && (!Best || Rank > BestRank)) {
-      Best = &O;
-      BestRank = Rank;
-    }
-  }
-  if (!Best)
-    return;
-  const WorkerInfo &Info = Best->Worker_->Info_;
-  dropReservations(Pass.State_, Ready.Id_);
-  Pass.State_.Reservations_.push_back(
-      {Ready.Id_, Info.Id_, Info.Capacity_, Pass.Now_ + MaxHold});
-}
-
-std::vector<Candidate> findCandidates(Pass &Pass, const WaitingStep &Ready) {
-  ReservedRoom Reserved = reservedByOthers(Pass.State_, Ready.Id_);
-  bool Advised = Ready.Job_->Queue_.Advice_.has_value();
-  SortedLookup OthersRoom(Reserved);
-  SortedLookup Denied(Ready.Step_->Denied_);
-  SortedLookup Permits(Ready.Step_->Permits_);
-  std::vector<Candidate> Out;
-  for (OpenWorker &O : Pass.Open_) {
-    // Cheapest check first: most workers of a busy fleet have no room.
-    if (!fits(Ready.Size_, O.Free_) || !canHost(*O.Worker_, Ready))
-      continue;
-    const WorkerId &Name = O.Worker_->Info_.Id_;
-    Candidate C{O.Worker_, O.Free_};
-    if (const auto *Row = OthersRoom.find(Name))
-      C.Free_ -= Row->second;
-    if (!fits(Ready.Size_, C.Free_) || Denied.find(Name))
-      continue;
-    if (Ready.Spec_->MaxPerWorker_ > 0)
-      C.StepTasks_ = tasksOn(*O.Worker_, Ready.Id_);
-    const auto *Permit = Permits.find(Name);
-    C.Allowed_ = Permit != nullptr;
-    C.Permitted_ = !Advised || (C.Allowed_ && Permit->second.ExpiresAt_ >
-                                                  Pass.Now_ + PermitMargin);
-    Out.push_back(C);
-  }
-  return Out;
-}
-
 /// Indices of the tasks of the step that may start now.
 std::vector<std::uint32_t> startableTasks(const Step &Step, TimePoint Now) {
   std::vector<std::uint32_t> Out;
@@ -208,13 +74,8 @@
 
 /// Updates the free resources of the workers that were assigned tasks.
 void updateFreeRoom(Pass &Pass, const std::vector<Assignment> &Placed) {
-  for (const Assignment &A : Placed) {
-    auto It = std::lower_bound(Pass.Open_.begin(), Pass.Open_.end(), A.Worker_,
-                               [](const OpenWorker &O, const Worker *W) {
-                                 return O.Worker_->Info_.Id_ < W->Info_.Id_;
-                               });
-    It->Free_ = freeResources(*A.Worker_);
-  }
+  for (const Assignment &A : Placed)
+    findOpen(Pass, A.Worker_->Info_.Id_)->Free_ = freeResources(*A.Worker_);
 }
 
 void startTasks(Pass &Pass, const WaitingStep &Ready,
@@ -303,7 +164,7 @@
                                              J.Queue_.Advice_->PerWorkerMs_ *
                                                  double(Call.Workers_.size())));
   if (Ready.Spec_->LongRunning_)
-    reserveAdvisedWorkers(Pass.State_, Call, Ready.Size_, Pass.Now_);
+    reserveAdvisedWorkers(Pass, Call, Ready.Size_);
   Step.AdviceInFlight_ = true;
   ++Step.AdviceCalls_;
   if (Step.AdviceAskedAt_ == TimePoint{})
@@ -330,63 +191,56 @@
   Step.DeniedRecheckAt_ = Pass.Now_ + Interval;
 }
 
-/// Whether a worker may be reserved for the step: small tasks would refill it
-/// before a large one fits. At most a quarter of the workers are reserved.
-bool mayReserve(const State &State, const WaitingStep &Ready, TimePoint Now) {
-  constexpr std::size_t WorkersPerReserved = 4;
-  std::int64_t Needed = Ready.Spec_->Size_.Accelerators_;
-  if (Now > dueAt(*Ready.Job_, *Ready.Occurrence_) || Needed == 0)
-    return false;
-  std::set<std::string_view> Reserved;
-  for (const Reservation &R : State.Reservations_)
-    if (!(R.Step_ == Ready.Id_))
-      Reserved.insert(R.Worker_);
-  if ((Reserved.size() + 1) * WorkersPerReserved > State.Workers_.size())
-    return false;
-  return std::any_of(
-      State.Workers_.begin(), State.Workers_.end(), [&](const auto &Row) {
-        std::int64_t Total = Row.second.Info_.Capacity_.Accelerators_;
-        return Total > 0 && Needed * 2 > Total;
-      });
+/// Whether room should be kept free for the step if no worker has any.
+bool needsReservation(const Pass &Pass, const WaitingStep &Ready) {
+  return Ready.Spec_->LongRunning_ || mayReserve(Pass, Ready);
+}
+
+/// Starts as many of \p Tasks on \p Hosts as possible; a gang, all or none.
+/// Returns the number of tasks that found no room, and updates \p Hosts.
+std::size_t startOn(Pass &Pass, const WaitingStep &Ready,
+                    const std::vector<std::uint32_t> &Tasks,
+                    std::vector<Candidate> &Hosts) {
+  auto Placed = assignWorkers(*Ready.Spec_, *Ready.Step_, Tasks, Hosts);
+  bool Complete = Placed.size() == Tasks.size();
+  if (!Placed.empty() && (Complete || !Ready.Spec_->Gang_)) {
+    startTasks(Pass, Ready, Placed);
+    dropReservations(Pass, Ready.Id_);
+  }
+  return Tasks.size() - Placed.size();
 }
 
-/// Whether no task of the step can start before the policy answers.
-bool awaitsAdvice(const WaitingStep &Ready, TimePoint Now) {
-  if (!Ready.Step_->AdviceInFlight_ || !Ready.Job_->Queue_.Advice_ ||
-      Ready.Spec_->LongRunning_ || Ready.Spec_->Size_.Accelerators_ > 0)
-    return false;
-  const auto &Permits = Ready.Step_->Permits_;
-  return std::none_of(Permits.begin(), Permits.end(), [&](const auto &Row) {
-    return Row.second.ExpiresAt_ > Now + PermitMargin;
-  });
+/// Places a step that the policy is being asked about: no other call may be
+/// made for it, so only workers with a permit matter.
+void placeOnPermitted(Pass &Pass, const WaitingStep &Ready,
+                      const std::vector<std::uint32_t> &Tasks) {
+  std::vector<Candidate> Hosts = findPermitted(Pass, Ready);
+  if (!Hosts.empty())
+    startOn(Pass, Ready, Tasks, Hosts);
+  else if (needsReservation(Pass, Ready) && !hasCandidate(Pass, Ready))
+    reserveFreestWorker(Pass, Ready);
 }
 
 void placeStep(Pass &Pass, const WaitingStep &Ready) {
-  if (awaitsAdvice(Ready, Pass.Now_))
-    return;
   const workflow::StepSpec &Spec = *Ready.Spec_;
   std::vector<std::uint32_t> Tasks = startableTasks(*Ready.Step_, Pass.Now_);
   if (Tasks.empty() ||
       (Spec.Gang_ && Tasks.size() < Ready.Step_->Tasks_.size()))
     return;
+  if (Ready.Job_->Queue_.Advice_ && Ready.Step_->AdviceInFlight_)
+    return placeOnPermitted(Pass, Ready, Tasks);
   std::vector<Candidate> Hosts = findCandidates(Pass, Ready);
   if (Hosts.empty()) {
     retryAdviceIfAllDenied(Pass, Ready);
-    if (Spec.LongRunning_ || mayReserve(Pass.State_, Ready, Pass.Now_))
+    if (needsReservation(Pass, Ready))
       reserveFreestWorker(Pass, Ready);
     return;
   }
   std::vector<Candidate> Remaining = Hosts;
-  auto Placed = assignWorkers(Spec, *Ready.Step_, Tasks, Remaining);
-  bool Complete = Placed.size() == Tasks.size();
-  if (!Placed.empty() && (Complete || !Spec.Gang_)) {
-    startTasks(Pass, Ready, Placed);
-    dropReservations(Pass.State_, Ready.Id_);
-  }
-  if (!Complete)
+  std::size_t Unplaced = startOn(Pass, Ready, Tasks, Remaining);
+  if (Unplaced > 0)
     requestAdvice(Pass, Ready, Spec.Gang_ ? Hosts : Remaining,
-                  std::uint32_t(Spec.Gang_ ? Tasks.size()
-                                           : Tasks.size() - Placed.size()));
+                  std::uint32_t(Spec.Gang_ ? Tasks.size() : Unplaced));
 }
 
 /// Grows with the number of waiting steps to bound the time spent in passes.
@@ -409,8 +263,6 @@
     return;
   State.PlacementNeeded_ = false;
   State.NextPlacementAt_ = Now + placementInterval(State);
-  std::erase_if(State.Reservations_,
-                [&](const Reservation &R) { return Now > R.ExpiresAt_; });
   Pass Pass = makePass(State, Now, Out);
   for (const WaitingStep &Ready : orderWaitingSteps(State, Now))
     placeStep(Pass, Ready);
