Peers: refresh their lists at intervals, in time linear in their number

Pattern: an event loop that turns hundreds of times a second beside 146 other entries.

One directory reads the addresses each 100 ms and hands them to all users.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -6,6 +6,7 @@
 #include "fleet/job_copies.hpp"
 #include "fleet/loop_watch.hpp"
 #include "fleet/owned_slices.hpp"
+#include "fleet/peer_directory.hpp"
 #include "fleet/policy_calls.hpp"
 #include "fleet/readiness.hpp"
 #include "fleet/worker_registry.hpp"
@@ -288,12 +289,20 @@
            Stale(Intake_.Partitions_.at(Partition).Tail_);
   }
 
+  void refreshPeers() {
+    if (!PeerDirectory_.refresh(Claims_, now()))
+      return;
+    relay::setPeers(Store_.Router_, PeerDirectory_.all());
+    PolicyCalls_.setPeers(PeerDirectory_.all());
+    Starts_.setPeers(PeerDirectory_.idle());
+  }
+
   void runDueWork() {
     Slices_.runDueWork(
         ownership::maySendOrders(Claims_, now()),
         [this](std::uint32_t Partition) { return isStoreStale(Partition); });
-    PolicyCalls_.runDueWork(Claims_);
-    Starts_.runDueWork(Claims_);
+    PolicyCalls_.runDueWork();
+    Starts_.runDueWork();
   }
 
   void scheduleTick() {
@@ -304,7 +313,7 @@
       LoopWatch_.onTick(now());
       ReadinessLog_.update(readiness(), Intake_, now());
       tickClaims();
-      relay::setPeers(Store_.Router_, ownership::peerAddresses(Claims_));
+      refreshPeers();
       Store_.tick();
       intake::tick(Intake_, now());
       for (auto &F : {ConfigFollower_, ClaimFollower_})
@@ -375,6 +384,7 @@
 
   Counters Counters_;
   PeerChannel Peers_{Io_, Counters_};
+  PeerDirectory PeerDirectory_;
   relay::RelayStore Store_{makePorts()};
   workflow::Catalog Catalog_;
   bool HasCatalog_ = false;
--- a/apps/pollenvale/fleet/policy_calls.cpp
+++ b/apps/pollenvale/fleet/policy_calls.cpp
@@ -4,14 +4,6 @@
 
 namespace pollenvale::fleet {
 
-namespace {
-
-/// How often the list of peers is updated: membership changes far less often
-/// than the event loop runs.
-constexpr Milliseconds PeersRefreshInterval{100};
-
-} // namespace
-
 void PolicyCalls::open(const std::string &Self) {
   Pool_ = advice::makePool(Self);
   Peers_.subscribe(FrameKind::Advice,
@@ -22,11 +14,11 @@
   advice::enqueue(Pool_, std::move(Call), now());
 }
 
-void PolicyCalls::runDueWork(const ownership::State &Claims) {
-  if (now() >= PeersRefreshAt_) {
-    PeersRefreshAt_ = now() + PeersRefreshInterval;
-    advice::setPeers(Pool_, ownership::peerAddresses(Claims));
-  }
+void PolicyCalls::setPeers(const std::vector<std::string> &Peers) {
+  advice::setPeers(Pool_, Peers);
+}
+
+void PolicyCalls::runDueWork() {
   for (const advice::Expired &Expired : advice::expire(Pool_, now())) {
     if (!Expired.Entry_.empty() && Expired.Entry_ != Pool_.Self_)
       Peers_.suspect(Expired.Entry_);
--- a/apps/pollenvale/fleet/policy_calls.hpp
+++ b/apps/pollenvale/fleet/policy_calls.hpp
@@ -5,7 +5,6 @@
 
 #include "advice/advice.hpp"
 #include "fleet/peer_channel.hpp"
-#include "ownership/ownership.hpp"
 #include "platform/adapter.hpp"
 
 namespace pollenvale::fleet {
@@ -24,11 +23,13 @@
 
   /// \p Self: peer address of this entry.
   void open(const std::string &Self);
+  /// \p Peers: entries that may be asked to make calls.
+  void setPeers(const std::vector<std::string> &Peers);
   /// Queues \p Call for the next runDueWork().
   void enqueue(scheduler::AdviceCall Call);
   /// Reports calls that have timed out and distributes those that may be sent
-  /// now over this entry and the peers in \p Claims.
-  void runDueWork(const ownership::State &Claims);
+  /// now over this entry and its peers.
+  void runDueWork();
 
 private:
   void send(const advice::Dispatch &Dispatch);
@@ -43,7 +44,6 @@
   Counters &Counters_;
   OnAdvice DeliverAdvice_;
   advice::Pool Pool_;
-  TimePoint PeersRefreshAt_{}; ///< Next update of the peers in Pool_.
 };
 
 } // namespace pollenvale::fleet
--- a/apps/pollenvale/fleet/start_calls.cpp
+++ b/apps/pollenvale/fleet/start_calls.cpp
@@ -7,23 +7,6 @@
 using scheduler::OrderReply;
 using scheduler::StartCall;
 
-namespace {
-
-/// Addresses of entries that own no slice and so have CPU and bandwidth to
-/// spare.
-std::vector<std::string> idlePeers(const ownership::State &Claims) {
-  std::set<std::string> Owners;
-  for (const auto &[Slice, View] : Claims.Slices_)
-    Owners.insert(View.Address_);
-  std::vector<std::string> Out;
-  for (std::string &A : ownership::peerAddresses(Claims))
-    if (!Owners.count(A))
-      Out.push_back(std::move(A));
-  return Out;
-}
-
-} // namespace
-
 void StartCalls::open(const std::string &Self) {
   Self_ = Self;
   Peers_.subscribe(FrameKind::Start,
@@ -52,8 +35,11 @@
   Request.Rows_.push_back(delegation::makeStartRow(Id, Call));
 }
 
-void StartCalls::runDueWork(const ownership::State &Claims) {
-  delegation::setPeers(Pool_, idlePeers(Claims));
+void StartCalls::setPeers(const std::vector<std::string> &Idle) {
+  delegation::setPeers(Pool_, Idle);
+}
+
+void StartCalls::runDueWork() {
   for (auto &[To, Message] : std::exchange(Requests_, {}))
     Peers_.send(To.first, FrameKind::Start, delegation::encode(Message));
   for (const auto &[Id, Call] : delegation::takeExpired(Pool_, now())) {
--- a/apps/pollenvale/fleet/start_calls.hpp
+++ b/apps/pollenvale/fleet/start_calls.hpp
@@ -6,7 +6,6 @@
 #include "delegation/delegation.hpp"
 #include "fleet/peer_channel.hpp"
 #include "intake/intake.hpp"
-#include "ownership/ownership.hpp"
 #include "platform/adapter.hpp"
 
 namespace pollenvale::fleet {
@@ -28,9 +27,11 @@
   /// answer.
   void start(const scheduler::StartCall &Call, std::uint32_t Partition,
              OnReply Done);
+  /// \p Idle: peers that may be asked to send starts.
+  void setPeers(const std::vector<std::string> &Idle);
   /// Sends the requests to peers collected since the last call, expires those
   /// without an answer and sends pending starts of peers.
-  void runDueWork(const ownership::State &Claims);
+  void runDueWork();
 
 private:
   /// A start delegated by another entry. It is pending until its job has been
--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -1,6 +1,7 @@
 #include "advice/advice.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace pollenvale::advice {
 
@@ -67,13 +68,13 @@
 }
 
 void setPeers(Pool &Calls, const std::vector<std::string> &Addresses) {
-  for (const std::string &A : Addresses)
-    Calls.Entries_.try_emplace(A);
+  std::set<std::string_view> Listed(Addresses.begin(), Addresses.end());
   std::erase_if(Calls.Entries_, [&](const auto &Entry) {
     return Entry.first != Calls.Self_ && Entry.second.InFlight_ == 0 &&
-           std::find(Addresses.begin(), Addresses.end(), Entry.first) ==
-               Addresses.end();
+           !Listed.count(Entry.first);
   });
+  for (const std::string &A : Addresses)
+    Calls.Entries_.try_emplace(A);
 }
 
 void enqueue(Pool &Calls, AdviceCall Call, TimePoint Now) {
--- a/packages/delegation/src/pool.cpp
+++ b/packages/delegation/src/pool.cpp
@@ -1,16 +1,15 @@
 #include "delegation/delegation.hpp"
 
-#include <algorithm>
+#include <set>
 
 namespace pollenvale::delegation {
 
 void setPeers(Pool &P, const std::vector<std::string> &Addresses) {
+  std::set<std::string_view> Listed(Addresses.begin(), Addresses.end());
+  std::erase_if(P.Peers_,
+                [&](const auto &Peer) { return !Listed.count(Peer.first); });
   for (const std::string &A : Addresses)
     P.Peers_.try_emplace(A);
-  std::erase_if(P.Peers_, [&](const auto &Peer) {
-    return std::find(Addresses.begin(), Addresses.end(), Peer.first) ==
-           Addresses.end();
-  });
 }
 
 std::string choosePeer(const Pool &P, const StartCall &Call, TimePoint Now) {
