--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -9,6 +9,7 @@
 #include "fleet/peer_directory.hpp"
 #include "fleet/policy_calls.hpp"
 #include "fleet/readiness.hpp"
+#include "fleet/turn_timer.hpp"
 #include "fleet/worker_registry.hpp"
 #include "observe/observe.hpp"
 #include "process.hpp"
@@ -25,6 +26,9 @@
 
 constexpr char ClaimTopic[] = "keyed.claims";
 constexpr Milliseconds TickInterval{25};
+/// Replies that arrive within this time share a turn: a turn looks at all
+/// workers.
+constexpr Milliseconds TurnSpacing{2};
 /// TCP resends a lost SYN only after a second; a new connection is faster.
 constexpr Milliseconds ConnectTimeout{400};
 /// Least time between two reads of a partition in which this entry owns no
@@ -270,15 +274,7 @@
     return readinessOf({Stopping_, HasCatalog_}, Intake_, now());
   }
 
-  void postDueWork() {
-    if (DueWorkPosted_)
-      return;
-    DueWorkPosted_ = true;
-    asio::post(Io_, [this] {
-      DueWorkPosted_ = false;
-      runDueWork();
-    });
-  }
+  void postDueWork() { DueWork_.request(); }
 
   /// Whether any data that a new owner in \p Partition needs is stale.
   bool isStoreStale(std::uint32_t Partition) const {
@@ -420,7 +416,7 @@
   OwnedSlices Slices_{
       [this](const ownership::SliceName &Slice) { return contextFor(Slice); }};
 
-  bool DueWorkPosted_ = false;
+  TurnTimer DueWork_{Io_, TurnSpacing, [this] { runDueWork(); }};
   bool Stopping_ = false;
   TimePoint StoppingSince_{};
 };
