Loads of a copy: notice within a second that the store is silent

The first page of the configuration was asked for while the store was silent, and the timeout of a page is 8 s, since a page of 1 MB takes 4 s over a small link.

A call ends when no byte arrives for a while (SilenceTimeout_): 1 s for the first attempt at a page, doubled by each failure up to the timeout, since a store may be slow. Tests fail before: unit_ledger tail (two), unit_http loop_client, and platform.py accepts_soon_after_a_silent_outage.

--- a/apps/pollenvale/fleet/follower.cpp
+++ b/apps/pollenvale/fleet/follower.cpp
@@ -17,7 +17,7 @@
   auto Self = shared_from_this();
   if (Step == TailStep::Newest) {
     Store_.readNewest(
-        {Tail_.Options_.Partition_, Tail_.PageAfterKey_},
+        ledger::nextPage(Tail_),
         [Self](const ledger::NewestReply &R) { Self->onNewest(R); });
     return;
   }
--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -21,6 +21,10 @@
   /// Limit for opening a connection, capped by Timeout_; 0 means that only
   /// Timeout_ applies.
   std::chrono::milliseconds ConnectTimeout_{0};
+  /// Ends the call when no byte of the answer has arrived for this long; 0
+  /// means that only Timeout_ applies. Only a client on a caller's loop does
+  /// so.
+  std::chrono::milliseconds SilenceTimeout_{0};
   /// Opens a new connection for this call and closes it afterwards, so that the
   /// call can't run into a cached connection that the peer has closed.
   bool Fresh_ = false;
--- a/packages/http/detail/transfer.hpp
+++ b/packages/http/detail/transfer.hpp
@@ -24,6 +24,8 @@
   std::chrono::steady_clock::time_point
       DeadlineAt_{}; ///< End of the whole call.
   std::chrono::steady_clock::time_point SubmittedAt_{};
+  /// When bytes of the answer last arrived; not set before the first.
+  std::chrono::steady_clock::time_point ReceivedAt_{};
 };
 
 /// Initialises libcurl once per process.
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -107,6 +107,8 @@
   }
 
 private:
+  using Clock = std::chrono::steady_clock;
+
   CURL *takeHandle() {
     if (SpareHandles_.empty())
       return curl_easy_init();
@@ -253,9 +255,20 @@
     T.DeadlineAt_ = T.NextLimitAt_ = Now + T.Call_.Timeout_;
     if (T.Call_.ConnectTimeout_.count() > 0)
       T.NextLimitAt_ = std::min(T.DeadlineAt_, Now + T.Call_.ConnectTimeout_);
+    else if (T.Call_.SilenceTimeout_.count() > 0)
+      T.NextLimitAt_ = std::min(T.DeadlineAt_, Now + T.Call_.SilenceTimeout_);
     Deadlines_.emplace(T.NextLimitAt_, T.Easy_);
   }
 
+  /// When a sent call ends unless bytes of the answer arrive first.
+  static Clock::time_point limitOf(const Transfer &T,
+                                   Clock::time_point SentAt) {
+    if (T.Call_.SilenceTimeout_.count() == 0)
+      return T.DeadlineAt_;
+    return std::min(T.DeadlineAt_,
+                    std::max(SentAt, T.ReceivedAt_) + T.Call_.SilenceTimeout_);
+  }
+
   void armDeadline() {
     if (Deadlines_.empty() || Deadlines_.begin()->first >= DeadlineArmedFor_)
       return;
@@ -291,8 +304,8 @@
     auto SentAt = detail::sentAt(*T);
     if (SentAt)
       T->DeadlineAt_ = *SentAt + T->Call_.Timeout_;
-    if (SentAt && T->DeadlineAt_ > Clock::now()) {
-      T->NextLimitAt_ = T->DeadlineAt_;
+    if (SentAt && limitOf(*T, *SentAt) > Clock::now()) {
+      T->NextLimitAt_ = limitOf(*T, *SentAt);
       Deadlines_.emplace(T->NextLimitAt_, Easy);
       return;
     }
@@ -338,8 +351,6 @@
     });
   }
 
-  using Clock = std::chrono::steady_clock;
-
   asio::io_context &Io_;
   asio::steady_timer Timer_; ///< Set by libcurl.
   asio::steady_timer DeadlineTimer_;
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -8,13 +8,16 @@
 
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *User) {
-  static_cast<Transfer *>(User)->Reply_.Body_.append(Data, Size * Count);
+  auto *T = static_cast<Transfer *>(User);
+  T->ReceivedAt_ = std::chrono::steady_clock::now();
+  T->Reply_.Body_.append(Data, Size * Count);
   return Size * Count;
 }
 
 std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                      void *User) {
   static const std::string Name = "x-pollenvale-echo:";
+  static_cast<Transfer *>(User)->ReceivedAt_ = std::chrono::steady_clock::now();
   std::size_t Length = Size * Count;
   if (Length <= Name.size() ||
       strncasecmp(Data, Name.c_str(), Name.size()) != 0)
--- a/packages/http/tests/unit-loop-client.cpp
+++ b/packages/http/tests/unit-loop-client.cpp
@@ -130,3 +130,74 @@
   Client.reset();
   Server->stop();
 }
+
+// Guards against calls that wait for a silent peer until their whole timeout,
+// which is meant for answers that take long to transfer.
+Test(loop_client, a_call_ends_when_the_peer_is_silent) {
+  asio::io_context Io;
+  std::uint16_t Port = freePort();
+  std::vector<http::Responder> Held;
+  auto Server = http::startServer(
+      Io, {"127.0.0.1", Port, 1},
+      [&](const http::ServerRequest &, const http::Responder &Respond) {
+        Held.push_back(Respond);
+      });
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ = "http://127.0.0.1:" + std::to_string(Port) + "/";
+  Call.Timeout_ = milliseconds(60'000);
+  Call.ConnectTimeout_ = milliseconds(400);
+  Call.SilenceTimeout_ = milliseconds(200);
+  http::ClientStatus Status = http::ClientStatus::Answered;
+  Client->submit(Call, [&](const http::ClientReply &R) {
+    Status = R.Status_;
+    Io.stop();
+  });
+  Io.run_for(milliseconds(10'000));
+  cr_assert(Status == http::ClientStatus::Timeout);
+  Held.clear();
+  Client.reset();
+  Server->stop();
+}
+
+// Guards against answers that are cut off while they still arrive.
+Test(loop_client, an_answer_that_goes_on_arriving_is_waited_for) {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Listener(
+      Io, {asio::ip::address_v4::loopback(), std::uint16_t(0)});
+  constexpr int Parts = 12;
+  constexpr milliseconds Pause{100};
+  asio::ip::tcp::socket Peer(Io);
+  asio::steady_timer Timer(Io);
+  int Left = Parts;
+  std::function<void()> SendPart = [&] {
+    if (Left-- == 0)
+      return;
+    asio::write(Peer, asio::buffer("x", 1));
+    Timer.expires_after(Pause);
+    Timer.async_wait([&](std::error_code) { SendPart(); });
+  };
+  Listener.async_accept(Peer, [&](std::error_code) {
+    std::string Head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Parts) +
+        "\r\n\r\n";
+    asio::write(Peer, asio::buffer(Head));
+    SendPart();
+  });
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ =
+      "http://127.0.0.1:" + std::to_string(Listener.local_endpoint().port()) +
+      "/";
+  Call.Timeout_ = milliseconds(60'000);
+  Call.SilenceTimeout_ = milliseconds(600);
+  http::ClientReply Reply;
+  Client->submit(Call, [&](http::ClientReply R) {
+    Reply = std::move(R);
+    Io.stop();
+  });
+  Io.run_for(milliseconds(30'000));
+  cr_assert(Reply.Status_ == http::ClientStatus::Answered);
+  cr_assert_eq(Reply.Body_.size(), std::size_t(Parts));
+  Client.reset();
+}
--- a/packages/ledger/detail/store.hpp
+++ b/packages/ledger/detail/store.hpp
@@ -102,6 +102,9 @@
       AfterKey_; ///< Only keys after this one; empty for the first page.
   /// Twice the time that a page of 1 MB takes over a link of 2 Mbit/s.
   Milliseconds Timeout_{8'000};
+  /// The call fails when no byte of the page arrives for this long; 0 for no
+  /// such limit.
+  Milliseconds SilenceTimeout_{0};
 };
 
 struct ReadReply {
--- a/packages/ledger/detail/tail.hpp
+++ b/packages/ledger/detail/tail.hpp
@@ -34,6 +34,8 @@
   Offset Next_ = 0; ///< Offset of the next record to be taken.
   /// End of the partition as of the first page of the load in progress.
   std::optional<Offset> LoadEnd_;
+  /// Pages in a row without an answer.
+  unsigned FailedPages_ = 0;
   TimePoint NextCallAt_{}; ///< No call is made before this time.
   TimePoint SentAt_{};
   /// Everything that was stored before this time has been read.
@@ -52,6 +54,10 @@
 
 /// Idle while a call is in flight or none is due.
 TailStep nextStep(const Tail &Tail, TimePoint Now);
+/// The page to load next. It fails soon if the store is silent, so that a load
+/// begins anew soon after an outage; the limit doubles with each failure, as
+/// the store may just be slow.
+NewestCall nextPage(const Tail &Tail);
 /// The read to make next. While the store is unreachable, the read does not
 /// wait for new records and has a short timeout, so that the tail soon notices
 /// when the store answers again.
--- a/packages/ledger/src/tail.cpp
+++ b/packages/ledger/src/tail.cpp
@@ -10,6 +10,9 @@
 constexpr Milliseconds RetryInterval{250};
 /// Timeout of reads while the store is unreachable.
 constexpr Milliseconds ProbeTimeout{600};
+/// Limit of the silence of the store while it prepares a page, in the first
+/// attempt.
+constexpr Milliseconds FirstSilenceTimeout{1'000};
 /// Delay before missing records are read: delivered records arrive slightly out
 /// of order, so that most gaps are filled without a read.
 constexpr Milliseconds GapReadDelay{30};
@@ -58,6 +61,15 @@
   return Tail.Loading_ ? TailStep::Newest : TailStep::Read;
 }
 
+NewestCall nextPage(const Tail &Tail) {
+  NewestCall Call{Tail.Options_.Partition_, Tail.PageAfterKey_};
+  Call.SilenceTimeout_ = FirstSilenceTimeout;
+  for (unsigned I = 0;
+       I < Tail.FailedPages_ && Call.SilenceTimeout_ < Call.Timeout_; ++I)
+    Call.SilenceTimeout_ *= 2;
+  return Call;
+}
+
 ReadCall nextRead(const Tail &Tail) {
   ReadCall Call{Tail.Options_.Partition_, Tail.Next_, Tail.Options_.Wait_};
   if (!Tail.Reachable_) {
@@ -92,6 +104,7 @@
   bool CanContinue = !Reply.More_ || (!lastKey(Reply).empty() &&
                                       lastKey(Reply) != Tail.PageAfterKey_);
   Tail.Reachable_ = Reply.Status_ == StoreStatus::Done && CanContinue;
+  Tail.FailedPages_ = Tail.Reachable_ ? 0 : Tail.FailedPages_ + 1;
   if (!Tail.Reachable_) {
     Tail.NextCallAt_ = Now + RetryInterval;
     return false;
--- a/packages/ledger/tests/unit-tail.cpp
+++ b/packages/ledger/tests/unit-tail.cpp
@@ -287,3 +287,26 @@
   cr_assert_eq(T.BufferedRecords_.size(), 1u);
   cr_assert_eq(T.Mismatches_, 0u);
 }
+
+// Guards against an entry that accepts nothing for the whole timeout of a page
+// after an outage: its call began while the store was silent.
+Test(tail, a_page_of_a_silent_store_fails_soon) {
+  Tail T;
+  auto Limit = nextPage(T).SilenceTimeout_;
+  cr_assert_leq(Limit.count(), 1'000);
+  cr_assert_gt(Limit.count(), 0);
+}
+
+// Guards against pages that a slow store can never deliver in time.
+Test(tail, the_limit_of_silence_grows_to_that_of_the_page) {
+  Tail T;
+  for (int I = 0; I < 10; ++I) {
+    Milliseconds Before = nextPage(T).SilenceTimeout_;
+    onNewest(T, {StoreStatus::Unknown}, T0);
+    cr_assert_geq(nextPage(T).SilenceTimeout_.count(), Before.count());
+  }
+  cr_assert_geq(nextPage(T).SilenceTimeout_.count(),
+                nextPage(T).Timeout_.count());
+  onNewest(T, page(0, false), T0);
+  cr_assert_leq(nextPage(T).SilenceTimeout_.count(), 1'000);
+}
--- a/packages/relay/detail/messages.hpp
+++ b/packages/relay/detail/messages.hpp
@@ -36,6 +36,8 @@
   std::uint32_t WaitMs_ = 0; ///< Of a read.
   std::string AfterKey_;     ///< Of a page of newest records.
   std::uint32_t TimeoutMs_ = 0;
+  /// Of a page of newest records. Not sent: calls through a peer are short.
+  Milliseconds SilenceTimeout_{0};
   MSGPACK_DEFINE(Id_, ReplyTo_, Kind_, Topic_, Partition_, Records_,
                  ExpectedEnd_, Producer_, Epoch_, Sequence_, FromOffset_,
                  WaitMs_, AfterKey_, TimeoutMs_)
--- a/packages/relay/src/messages.cpp
+++ b/packages/relay/src/messages.cpp
@@ -89,6 +89,7 @@
   RequestMessage M =
       makeRequest(CallKind::Newest, Call.Partition_, Call.Timeout_);
   M.AfterKey_ = Call.AfterKey_;
+  M.SilenceTimeout_ = Call.SilenceTimeout_;
   return M;
 }
 
@@ -111,7 +112,10 @@
 }
 
 NewestCall newestCall(const RequestMessage &M) {
-  return {{M.Topic_, M.Partition_}, M.AfterKey_, Milliseconds(M.TimeoutMs_)};
+  return {{M.Topic_, M.Partition_},
+          M.AfterKey_,
+          Milliseconds(M.TimeoutMs_),
+          M.SilenceTimeout_};
 }
 
 void copyCallFields(ReplyMessage &Reply, const RequestMessage &Request) {
--- a/tests/processes/platform.py
+++ b/tests/processes/platform.py
@@ -177,6 +177,24 @@
         assert (code, json.loads(body)["state"]) == (200, "queued"), (service, code, body)
 
 
+def accepts_soon_after_a_silent_outage(cell):
+    """Guards against entries that accept nothing long after the store is back:
+    they were started while it was silent, and their first call waited on."""
+    for entry in range(1, ENTRIES + 1):
+        cell.kill(f"e{entry}")
+    cell.store('{"mode":"silent"}')
+    for entry in range(1, ENTRIES + 1):
+        cell.start_entry(entry)
+    time.sleep(1)
+    cell.store('{"mode":"up"}')
+    back = time.monotonic()
+    cell.wait_ready()
+    took = time.monotonic() - back
+    assert took < 3, f"ready {took:.1f} s after the store was back"
+    code, body = submit(cell, 1, SERVICES[1], job_id(60))
+    assert code == 200, (code, body)
+
+
 def cancels_once(cell):
     """Guards against a cancellation that the other entries do not see."""
     code, _ = call(cell.caller_port(1), "DELETE", f"/{SERVICES[0]}/{job_id(0)}")
@@ -192,6 +210,7 @@
     accepts_jobs_of_every_service,
     names_the_reason_while_not_ready,
     remembers_jobs_after_all_entries_were_killed,
+    accepts_soon_after_a_silent_outage,
     cancels_once,
 ]
 
--- a/tests/standins/store.cpp
+++ b/tests/standins/store.cpp
@@ -1,8 +1,9 @@
 /// \file
 /// Stand-in for the platform's store. Arguments: port, number of partitions of
 /// each topic. Other partitions are refused with 400. POST /admin {"mode": "up"
-/// | "down" | "lose-answers"} selects an outage; its answer counts the records
-/// and the refused partitions.
+/// | "down" | "lose-answers" | "silent"} selects an outage; its answer counts
+/// the records and the refused partitions. A silent store never answers the
+/// calls of that time, nor closes their connections.
 #include "standin.hpp"
 #include "standins/store_model.hpp"
 
@@ -30,7 +31,7 @@
   std::map<std::uint64_t, PendingRead> PendingReads_;
   std::uint64_t LastPendingRead_ = 0;
   std::string Mode_ = "up";
-  std::vector<http::Responder> Hung_; ///< Dropped when the mode changes.
+  std::vector<http::Responder> Hung_; ///< Never answered.
   std::uint64_t RefusedPartitions_ = 0;
 };
 
@@ -128,7 +129,6 @@
   json Doc = json::parse(R.Body_, nullptr, false);
   if (Doc.contains("mode")) {
     S.Mode_ = Doc["mode"];
-    S.Hung_.clear();
   }
   json Records = json::object();
   for (const auto &[Name, P] : S.Partitions_)
@@ -146,6 +146,10 @@
 
 void onCall(Store &S, asio::io_context &Io, const http::ServerRequest &R,
             http::Responder Respond) {
+  if (S.Mode_ == "silent") {
+    S.Hung_.push_back(std::move(Respond));
+    return;
+  }
   if (S.Mode_ == "down")
     return Respond(reply(503, {{"error", "outage"}}));
   std::string Topic = textOf(R, "topic");
