--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -141,7 +141,7 @@
   std::uint64_t StoredEnd_ = 0; ///< Ends up to this number are stored.
   std::set<JobId> FailedJobs_;  ///< Jobs with failures there since a success.
   TimePoint AvoidUntil_{};      ///< No new tasks before this time.
-  bool HasTailTarget_ = false; ///< Lists a task with a target of its latency.
+  bool HasTailTarget_ = false;  ///< Lists a task with a target of its latency.
   /// CPU limit of best-effort tasks there, in percent.
   unsigned BestEffortShare_ = 100;
   // For logging only.
