Owner: nothing starts while its reading of the registry is older than drainMs allows

A copy of the jobs that is behind stops starts already; the registry does so now, 0.5 s before bounds.drainMs, or after the time that a quiet registry needs between two reads. A store that does not answer stops nothing.

The limit for the copy of the jobs is 0.5 s less than bounds.cancel_ms, 2.5 s at most; it was a constant. (isBehind is new).

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -225,6 +225,8 @@
     Context.Starts_ = &Starts_;
     Context.PostDueWork_ = [this] { postDueWork(); };
     Context.MaxLease_ = Boot_.MaxLease_;
+    Context.DrainLimit_ = Boot_.DrainLimit_;
+    Context.CancelLimit_ = Boot_.CancelLimit_;
     Context.StoreLimits_ = Boot_.StoreLimits_;
     Context.ClosedJobRetention_ = Boot_.ClosedJobRetention_ + ClosedJobsMargin;
     return Context;
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -15,8 +15,10 @@
 constexpr Milliseconds LeaseMargin{400};
 /// Limit of log lines of one event.
 constexpr unsigned LinesPerSecond = 50;
+/// Time for a start to reach its worker after the records were read.
+constexpr Milliseconds StartMargin{500};
 /// The copy of the jobs counts as behind when stored records have not been read
-/// for this long: cancellations must take effect within 3 s.
+/// for this long, or earlier if cancellations must take effect sooner.
 constexpr Milliseconds MaxReadDelay{2'500};
 
 } // namespace
@@ -126,8 +128,7 @@
   if (auto Append = ledger::repeatWrite(Writer_, now()))
     send(std::move(*Append), RepeatedWriteId_);
   State_.StoreUnreachable_ = StoreStale;
-  State_.BehindStore_ =
-      ledger::isBehind(Context_.Partition_->Tail_, MaxReadDelay, now());
+  State_.BehindStore_ = isBehind();
   scheduler::Outbox Out;
   scheduler::tick(State_, now(), nowUnixMs(), Out);
   perform(Out);
@@ -135,6 +136,13 @@
     loseSlice("a worker has seen a higher token");
 }
 
+bool SliceOwner::isBehind() const {
+  Milliseconds ForCancels =
+      std::min(MaxReadDelay, Context_.CancelLimit_ - StartMargin);
+  return ledger::isBehind(Context_.Partition_->Tail_, ForCancels, now()) ||
+         Context_.Registry_->isBehind(Context_.DrainLimit_ - StartMargin);
+}
+
 bool SliceOwner::isLate() const {
   return Stage_ == Stage::Running && now() < State_.LateUntil_;
 }
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -27,6 +27,8 @@
   /// Schedules runDueWork() on the event loop.
   std::function<void()> PostDueWork_;
   Milliseconds MaxLease_{10'000}; ///< Workers shorten longer leases.
+  /// As in platform::Boot.
+  Milliseconds DrainLimit_{2'000}, CancelLimit_{3'000};
   /// How long closed jobs are kept.
   Milliseconds ClosedJobRetention_{180'000};
   ledger::StoreLimits StoreLimits_;
@@ -86,6 +88,8 @@
   /// Ends this owner because its claim is lost, and logs \p Reason.
   void loseSlice(const char *Reason);
   bool ownsJob(const JobId &Job) const;
+  /// Whether cancellations or drains may have been missed for too long.
+  bool isBehind() const;
 
   SliceContext Context_;
   ownership::SliceName Slice_;
--- a/apps/pollenvale/fleet/worker_registry.cpp
+++ b/apps/pollenvale/fleet/worker_registry.cpp
@@ -43,6 +43,12 @@
     Follower_->poll();
 }
 
+bool WorkerRegistry::isBehind(Milliseconds Limit) const {
+  constexpr Milliseconds AnswerTime{500};
+  return ledger::isBehind(
+      Tail_, std::max(Limit, ReadWait + ReadSpacing + AnswerTime), now());
+}
+
 void WorkerRegistry::remove(const WorkerId &Id) {
   Workers_.erase(Id);
   Events_.OnGone_(Id);
--- a/apps/pollenvale/fleet/worker_registry.hpp
+++ b/apps/pollenvale/fleet/worker_registry.hpp
@@ -32,6 +32,10 @@
   void poll();
   /// Whether all workers in the registry have been read since follow().
   bool isLoaded() const { return Loaded_; }
+  /// Whether the store answers, but what was read is older than \p Limit: a
+  /// worker may have reported to drain meanwhile. Limits that are shorter than
+  /// the time between two reads are extended to it.
+  bool isBehind(Milliseconds Limit) const;
   const std::map<WorkerId, scheduler::WorkerInfo> &workers() const {
     return Workers_;
   }
--- a/apps/pollenvale/tests/unit-worker-registry.cpp
+++ b/apps/pollenvale/tests/unit-worker-registry.cpp
@@ -2,6 +2,7 @@
 #include "fleet/worker_registry.hpp"
 
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace pollenvale;
 using fleet::WorkerRegistry;
@@ -67,12 +68,15 @@
     std::exchange(Store_.Newest_, nullptr)(R);
   }
 
-  /// Answers the pending read.
-  void read(std::vector<ledger::KeyedRecord> Records, Offset Next) {
+  /// Answers the pending read. \p End: of the partition; where the read ended
+  /// by default.
+  void read(std::vector<ledger::KeyedRecord> Records, Offset Next,
+            std::optional<Offset> End = {}) {
     ledger::ReadReply R;
     R.Status_ = StoreStatus::Done;
     R.Records_ = std::move(Records);
-    R.Next_ = R.End_ = Next;
+    R.Next_ = Next;
+    R.End_ = End.value_or(Next);
     std::exchange(Store_.Read_, nullptr)(R);
   }
 
@@ -130,3 +134,23 @@
   cr_assert_eq(R.Workers_.workers().size(), 1u);
   cr_assert(R.holds("i-3"));
 }
+
+// Guards against DRAIN: an owner that could not keep up with the registry
+// started tasks on workers that had reported to drain 4 s before.
+Test(worker_registry, it_is_behind_while_old_records_are_unread) {
+  constexpr Milliseconds NoLimit{0}, LongLimit{60'000};
+  Registry R;
+  R.load({{"i-1", workerRecord("10.0.0.1:80"), 0}}, 1);
+  R.read({}, 1);
+  cr_assert_not(R.Workers_.isBehind(NoLimit));
+  constexpr Milliseconds LongerThanReadsTake{1'900};
+  std::this_thread::sleep_for(LongerThanReadsTake);
+  // A store that does not answer is no reason to stop.
+  cr_assert_not(R.Workers_.isBehind(NoLimit));
+  R.Workers_.poll();
+  R.read({{"i-2", workerRecord("10.0.0.2:80"), 1}}, 2, 900);
+  cr_assert(R.Workers_.isBehind(NoLimit));
+  cr_assert_not(R.Workers_.isBehind(LongLimit));
+  R.read({{"i-3", workerRecord("10.0.0.3:80"), 899}}, 900);
+  cr_assert_not(R.Workers_.isBehind(NoLimit));
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -226,7 +226,7 @@
   TimePoint LossyUntil_{};        ///< Shorter call timeouts apply until then.
   bool StoreUnreachable_ = false; ///< The owner cannot read the store.
   /// The store answers, but the owner has not read all of its records: jobs may
-  /// have been cancelled.
+  /// have been cancelled, workers may drain.
   bool BehindStore_ = false;
   bool Fenced_ =
       false; ///< A worker has seen a higher token; tick() does nothing.
