--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -47,6 +47,7 @@
     def __init__(self, handler, port=0):
         self.handler, self.port = handler, port
         self.server, self.writers = None, set()
+        self.silent = set()  # connections whose request gets no answer
 
     async def open(self):
         sock = socket.socket()
@@ -56,16 +57,20 @@
         self.server = await asyncio.start_server(self._serve, sock=sock)
 
     def close(self):
-        """Ends at once, as a killed process does: all connections are reset."""
+        """Ends at once, as a killed process does: all connections are closed."""
         if self.server:
             self.server.close()
             self.server = None
         for writer in list(self.writers):
-            sock = writer.get_extra_info("socket")
-            if sock:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
         self.writers.clear()
+        self.silent.clear()
+
+    def release(self):
+        """Resets the connections on which a request has got no answer."""
+        for writer in list(self.silent):
+            writer.transport.abort()
+        self.silent.clear()
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
@@ -82,6 +87,7 @@
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 answer = await self.handler(method, target, headers, body)
                 if answer is None:  # No answer, and the connection stays silent.
+                    self.silent.add(writer)
                     await asyncio.sleep(3600)
                 code, content = answer
                 if isinstance(content, (dict, list)):
@@ -298,6 +304,8 @@
         self.port, self.life, self.up, self.cut = 0, 0, False, False
         self.state = "ready"
         self.tasks = []
+        self.holds = 0
+        self.last_beat = 0.0
         self.history = []  # (time, event, task, run), over all lives
         self.noted = []    # (task, run, how, when it ended, when it was taken note of)
 
@@ -321,7 +329,7 @@
         self.tasks = [asyncio.ensure_future(self._beat()), asyncio.ensure_future(self._watch_lease())]
 
     def crash(self):
-        """The process is killed: what it runs ends, connections are reset."""
+        """The process is killed: what it runs ends, connections are closed."""
         self.cell.record(self.id, "crashes, life", self.life, "with", len(self.running), "runs")
         self.up = False
         for t in self.tasks:
@@ -330,6 +338,16 @@
             self._forget(key, "crashed")
         self.server.close()
 
+    def cut_off(self):
+        """No byte passes any more, to or from anybody; what runs goes on."""
+        self.cut = True
+        self.cell.record(self.id, "is cut off, with", len(self.running), "runs")
+
+    def heal(self):
+        self.cut = False
+        self.server.release()
+        self.cell.record(self.id, "can be reached again, with", len(self.running), "runs")
+
     def clock(self):
         return int((time.monotonic() - self.birth) * 1000)
 
@@ -346,6 +364,7 @@
         while True:
             if not self.cut:
                 self.register()
+                self.last_beat = time.monotonic()
             await asyncio.sleep(self.cell.heartbeat_s)
 
     async def _watch_lease(self):
@@ -453,6 +472,7 @@
         return 200, {"clockMs": self.clock()}
 
     async def _on_hold(self, doc):
+        self.holds += 1
         if "deadlineMs" in doc:
             self._extend(int(doc["deadlineMs"]))
         self._take_note(int(doc.get("ackCursor", 0)))
