--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -163,6 +163,11 @@
         """A record of the operator or of a minion."""
         self._append(self.partition(topic, 0), topic, [self._keyed(key, value)])
 
+    def remove(self, topic, key):
+        """The record of a key is dropped: a record without a value."""
+        self.record("store: the entry of", key, "is removed")
+        self._append(self.partition(topic, 0), topic, [bytes([len(key)]) + key.encode()])
+
     @staticmethod
     def _keyed(key, value):
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -339,7 +344,8 @@
         self.server.close()
 
     def cut_off(self):
-        """No byte passes any more, to or from anybody; what runs goes on."""
+        """Nothing passes any more, to or from anybody; what runs goes on. A call
+        is taken in and never carried out."""
         self.cut = True
         self.cell.record(self.id, "is cut off, with", len(self.running), "runs")
 
