--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -500,9 +500,10 @@
 # ----------------------------------------------------------------------- cell
 
 def free_ports(count):
-    """A run of `count` neighbouring free ports."""
+    """The first of `count` neighbouring free ports, below those that the system
+    gives to outgoing connections."""
     for _ in range(200):
-        base = random.randrange(20000, 60000)
+        base = random.randrange(15000, 32000)
         socks = []
         try:
             for port in range(base, base + count):
