--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -519,6 +519,9 @@
     raise CannotRun("no free ports")
 
 
+PORTS_PER_ENTRY, MAX_ENTRIES = 5, 6
+
+
 class Cell:
     """A store, a configuration, minions and entries."""
 
@@ -531,6 +534,7 @@
         self.status_s = status_s
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.entries, self.minions, self.ports = {}, [], {}
+        self.first_port = None  # of a block for all entries
 
     async def open(self):
         await self.store.open()
@@ -549,7 +553,9 @@
         program = os.path.join(ROOT, "target/apps/pollenvale")
         if not os.path.exists(program):
             raise CannotRun("target/apps/pollenvale is missing: run the build of the deploy file")
-        base = self.ports.setdefault(number, free_ports(5))
+        if self.first_port is None:
+            self.first_port = free_ports(PORTS_PER_ENTRY * MAX_ENTRIES)
+        base = self.ports.setdefault(number, self.first_port + PORTS_PER_ENTRY * (number - 1))
         settings = os.path.join(self.folder, f"e{number}.conf")
         with open(settings, "w") as out:
             out.write(f"""nodeName=edge-z1-{number}
@@ -647,7 +653,8 @@
             if value:
                 return value
             if time.monotonic() > end:
-                raise CannotRun("gave up waiting: " + what)
+                ended = {n: p.poll() for n, p in self.entries.items() if p.poll() is not None}
+                raise CannotRun(f"gave up waiting: {what}; entries that ended by themselves: {ended}")
             await asyncio.sleep(0.02)
 
     async def call(self, number, method, path, body=None, host="caller.test", quiet=False):
