--- a/review/1/run.py
+++ b/review/1/run.py
@@ -68,4 +68,5 @@
         cell.close()
 
 
-main(case, __file__)
+# TROUBLE=0: the same without the disruption.
+main(case, __file__, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -707,11 +707,10 @@
     return sorted(out)
 
 
-def main(case, file):
+def main(case, file, trouble):
     """Runs `case(folder, trouble)`; it returns a text if the rule was broken."""
     folder = os.path.dirname(os.path.abspath(file))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = asyncio.run(asyncio.wait_for(case(folder, trouble), 118))
     except (CannotRun, OSError, asyncio.TimeoutError) as problem:
