Ownership: a release is stored only where its writer has read to

Cause: an entry that stops wrote the release of its slice without a condition, under the key of the claim. The store may execute a write without an answer seconds later; by then two others had claimed the slice, and the old release became the newest record of the key. Entries that had read the claims ignored it; one that started afterwards and loaded the newest record of each key found the slice free, took it from its living owner and counted the generation on from the released one. Run numbers follow from the generation and went back, so that a worker refused them.

Change: a release is appended with the expected end of the partition, as a claim is. A late one can only take effect while nothing has been appended since, and then it is true. As heartbeats move the end, a rejected release is written again after the next read, until it is stored or a later claim makes it needless; a stopping entry stays for that within its limit. While a release is pending, the entry doesn't claim the slice.

Ruled out: a producer and an epoch per slice. The number of a claim is known only once it is stored, so a release could come between the claim and its epoch.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -175,7 +175,7 @@
   }
 
   void writeClaim(ownership::Write W) {
-    if (W.Kind_ == ownership::Write::Kind::Release)
+    if (W.Kind_ == ownership::Write::Kind::Release && !W.Repeated_)
       observe::log(Level::Info, "slice-given-up",
                    {{"slice", W.Slice_},
                     {"reason", Stopping_ ? "stopping" : "overloaded"}});
@@ -361,7 +361,7 @@
     if (!Stopping_ || now() - StoppingSince_ < Times.Linger_)
       return false;
     bool Idle = Intake_.InFlight_ == 0 && Intake_.PendingCalls_.empty() &&
-                CallerServer_->unwritten() == 0;
+                CallerServer_->unwritten() == 0 && Claims_.Releases_.empty();
     return Idle || now() - StoppingSince_ > Times.Limit_;
   }
 
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -85,12 +85,25 @@
   TimePoint ClaimedAt_{};
 };
 
+/// A slice that this entry gives up. Its release is sent again until it is
+/// stored, or a later claim makes it unnecessary.
+struct PendingRelease {
+  ClaimNumber Number_ = 0; ///< Claim to release.
+  std::uint32_t Generation_ = 0;
+  bool InFlight_ = false;
+  unsigned Sends_ = 0;  ///< How often the release was sent.
+  TimePoint RetryAt_{}; ///< When an unanswered release is sent again.
+  /// End of the claims partition that the store rejected as outdated.
+  std::optional<Offset> RejectedEnd_;
+};
+
 struct State {
   Options Options_;
   std::map<SliceName, SliceView> Slices_;
   std::map<std::string, NodeView> Nodes_; ///< By node name.
   std::map<SliceName, OwnedSlice> OwnSlices_;
   std::set<SliceName> ClaimsInFlight_;
+  std::map<SliceName, PendingRelease> Releases_;
   /// Since when the store has answered reads without a long gap.
   TimePoint ContactSince_{};
   TimePoint LastContactAt_{}; ///< Last answer of the store to a read.
@@ -112,12 +125,13 @@
   Kind Kind_ = Kind::Heartbeat;
   SliceName Slice_; ///< Empty for a heartbeat.
   ledger::KeyedRecord Record_;
-  std::optional<Offset> ExpectedEnd_; ///< Of a claim only.
+  std::optional<Offset> ExpectedEnd_; ///< Of a claim or a release.
   /// The following fields are set for a claim only and describe the ownership
   /// that it establishes; see OwnedSlice.
   std::uint32_t Generation_ = 0;
   Predecessor Predecessor_ = Predecessor::None;
   ClaimNumber PredecessorClaim_ = 0;
+  bool Repeated_ = false; ///< Of a release only: it was sent before.
 };
 
 /// Applies a record that was read from the claims topic.
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -12,8 +12,9 @@
 /// stands for no claim.
 using ClaimNumber = std::uint64_t;
 
-/// Claims or releases a slice. A claim is stored only if the partition still
-/// ends where its writer has read to.
+/// Claims or releases a slice. Stored only if the partition still ends where
+/// its writer has read to: otherwise a release that the store executes late
+/// would replace a later claim for everybody who loads the topic.
 struct ClaimRecord {
   NodeId Holder_;
   /// Number of owners that the slice has had, including this one.
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -11,6 +11,8 @@
 /// Contact to the store counts as interrupted when the time between two answers
 /// is longer than this.
 constexpr Milliseconds MaxContactGap{1'500};
+/// Pause after a release that was refused or got no answer.
+constexpr Milliseconds ReleaseRetryInterval{200};
 
 void onClaim(State &Claims, const SliceName &Slice, const ClaimRecord &R,
              Offset Offset, TimePoint Now) {
@@ -91,7 +93,8 @@
 void claimFreeSlices(State &Claims, const std::set<SliceName> &Wanted,
                      Offset End, TimePoint Now, std::vector<Write> &Out) {
   for (const SliceName &Slice : Wanted) {
-    if (Claims.OwnSlices_.count(Slice) || Claims.ClaimsInFlight_.count(Slice))
+    if (Claims.OwnSlices_.count(Slice) || Claims.ClaimsInFlight_.count(Slice) ||
+        Claims.Releases_.count(Slice))
       continue;
     SliceView &View = Claims.Slices_[Slice];
     if (!isFree(Claims, View)) {
@@ -113,13 +116,56 @@
   }
 }
 
-void releaseSlices(State &Claims, std::vector<Write> &Out) {
-  for (const auto &[Slice, Own] : Claims.OwnSlices_) {
-    ClaimRecord R{Claims.Options_.Self_, Own.Generation_, Own.Number_,
+/// Gives up all slices. sendReleases() tells the other entries.
+void giveUpSlices(State &Claims) {
+  for (const auto &[Slice, Own] : Claims.OwnSlices_)
+    Claims.Releases_[Slice] = {Own.Number_, Own.Generation_};
+  Claims.OwnSlices_.clear();
+}
+
+/// Forgets releases that are stored and those of superseded claims.
+void dropSettledReleases(State &Claims) {
+  std::erase_if(Claims.Releases_, [&](const auto &Release) {
+    const SliceView &View = Claims.Slices_[Release.first];
+    return View.Released_ || View.Number_ > Release.second.Number_;
+  });
+}
+
+void sendReleases(State &Claims, Offset End, TimePoint Now,
+                  std::vector<Write> &Out) {
+  dropSettledReleases(Claims);
+  for (auto &[Slice, Release] : Claims.Releases_) {
+    if (Release.InFlight_ || Now < Release.RetryAt_ ||
+        Release.RejectedEnd_ == End)
+      continue;
+    ClaimRecord R{Claims.Options_.Self_, Release.Generation_, Release.Number_,
                   Claims.Options_.Address_, Claims.StartOffset_};
-    Out.push_back({Write::Kind::Release, Slice, makeClaim(Slice, R), {}});
+    Write W{Write::Kind::Release, Slice, makeClaim(Slice, R), End};
+    W.Repeated_ = Release.Sends_++ > 0;
+    Release.InFlight_ = true;
+    Out.push_back(std::move(W));
   }
-  Claims.OwnSlices_.clear();
+}
+
+void onReleaseWritten(State &Claims, const Write &W, StoreStatus Status,
+                      TimePoint Now) {
+  auto It = Claims.Releases_.find(W.Slice_);
+  if (It == Claims.Releases_.end())
+    return;
+  PendingRelease &Release = It->second;
+  Release.InFlight_ = false;
+  if (Status == StoreStatus::Moved) {
+    // A record that has not been read yet may be a later claim.
+    Release.RejectedEnd_ = W.ExpectedEnd_;
+    return;
+  }
+  if (Status != StoreStatus::Done) {
+    Release.RetryAt_ = Now + ReleaseRetryInterval;
+    return;
+  }
+  SliceView &View = Claims.Slices_[W.Slice_];
+  View.Released_ = View.Released_ || View.Number_ == Release.Number_;
+  Claims.Releases_.erase(It);
 }
 
 bool holdsSlice(const State &Claims, const NodeId &Node) {
@@ -189,8 +235,8 @@
     Claims.HeartbeatInFlight_ = false;
     return;
   }
-  if (W.Kind_ != Write::Kind::Claim)
-    return;
+  if (W.Kind_ == Write::Kind::Release)
+    return onReleaseWritten(Claims, W, Reply.Status_, Now);
   Claims.ClaimsInFlight_.erase(W.Slice_);
   SliceView &View = Claims.Slices_[W.Slice_];
   // A claim without an answer may have been stored. It is never used: another
@@ -218,15 +264,14 @@
 std::vector<Write> tick(State &Claims, const std::set<SliceName> &Wanted,
                         std::optional<Offset> End, TimePoint Now) {
   std::vector<Write> Out;
-  if (Claims.Stopping_) {
-    releaseSlices(Claims, Out);
-    return Out;
-  }
-  if (shouldHandOver(Claims, Now)) {
-    releaseSlices(Claims, Out);
+  if (Claims.Stopping_ || shouldHandOver(Claims, Now)) {
+    giveUpSlices(Claims);
     Claims.OverloadedSince_.reset();
-    return Out;
   }
+  if (End)
+    sendReleases(Claims, *End, Now, Out);
+  if (Claims.Stopping_)
+    return Out;
   if (End && Claims.StartOffset_ == 0)
     Claims.StartOffset_ = *End + 1;
   if (End && elapsed(Claims.LastContactAt_, Now) < MaxContactGap)
