Owner: run numbers that a worker has seen are skipped, not tried one by one

A waiting task got run number 1001 though run 2001 had failed on the worker, the worker refused each start, and the owner tried 1002, 1003, ... one each 0.5 s.

Cause: the first number of an inherited task follows from the generation of the claim alone. Stored failed runs didn't raise it.

Change: stored failed runs raise the first number. A worker that refuses the only sending of a start as old has seen a higher number: the next run's number is a thousand higher, so that a few refusals pass any number of earlier owners.

--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -6,6 +6,10 @@
 
 namespace pollenvale::scheduler::detail {
 
+/// Each owner numbers the runs of inherited tasks from this multiple of the
+/// number of earlier owners, so that no number is used twice.
+inline constexpr std::uint32_t RunsPerOwner = 1'000;
+
 // Each lookup returns null if it finds nothing. findStep() and findTask() see
 // open occurrences only.
 Job *findJob(State &State, const JobId &Id);
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// Each owner numbers the runs of inherited tasks from this multiple of the
-/// number of earlier owners, so that no number is used twice.
-constexpr std::uint32_t RunsPerOwner = 1'000;
-
 /// Time since \p SinceUnixMs, limited to a plausible range, as wall clocks of
 /// two VMs may differ.
 Milliseconds ageOf(std::int64_t SinceUnixMs, std::int64_t NowUnixMs) {
@@ -78,9 +74,13 @@
       Step.Tasks_[I].Done_ = true;
       ++Step.DoneCount_;
     }
-  for (const workflow::TaskFailures &F : Stored.Failures_)
-    if (F.Index_ < Step.Tasks_.size())
-      Step.Tasks_[F.Index_].FailedRuns_ = F.Runs_;
+  for (const workflow::TaskFailures &F : Stored.Failures_) {
+    if (F.Index_ >= Step.Tasks_.size() || F.Runs_.empty())
+      continue;
+    Task &T = Step.Tasks_[F.Index_];
+    T.FailedRuns_ = F.Runs_;
+    T.LastRun_ = std::max(T.LastRun_, *F.Runs_.rbegin());
+  }
 }
 
 } // namespace
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -47,6 +47,15 @@
   detail::stopIncompleteGang(State, Id.Step_);
 }
 
+/// The worker refused the only start of a run: it has seen a run of the task
+/// with this number or a higher one, of which this owner does not know.
+/// Counting up one by one might take an owner's whole range of numbers.
+void skipUsedNumbers(State &State, const TaskId &Id) {
+  if (Task *T = findTask(State, Id))
+    T->LastRun_ += detail::RunsPerOwner;
+  count(State.Counters_, "run-number-skipped");
+}
+
 void handleStartAccepted(State &State, const StartCall &Call, Run &R,
                          TimePoint Now) {
   R.Phase_ = RunPhase::Running;
@@ -117,6 +126,8 @@
     return;
   case CallStatus::Superseded:
     // The run has ended; the worker's next list reports how.
+    if (OnlySending)
+      skipUsedNumbers(State, Call.Task_);
     R->Phase_ = RunPhase::Unresolved;
     R->SettledAt_ = Now;
     State.PendingOrders_.erase(Call.Task_);
--- a/packages/scheduler/tests/unit-attempts.cpp
+++ b/packages/scheduler/tests/unit-attempts.cpp
@@ -90,3 +90,29 @@
   for (const std::string &Start : C.Starts_)
     cr_assert(!Start.ends_with("@a"));
 }
+
+// Guards against LOST: a service task was restarted over a thousand times under
+// one owner, the next owner's numbers were lower, and the worker refused them
+// one by one, each 0.5 s.
+Test(attempts, numbers_that_a_worker_has_seen_are_skipped) {
+  FleetCell C({"a"});
+  C.takeOver();
+  C.worker("a").HighestPastRuns_[{{"j1", 0, 0}, 0}] = 2'500;
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
+                       Milliseconds(5'000)));
+  cr_assert(C.Broken_.empty());
+}
+
+// Guards against LOST: a new owner numbers a run lower than one that has failed
+// there and is stored, and the worker refuses it.
+Test(attempts, runs_are_numbered_above_stored_failures) {
+  ledger::ReplicatedJob Row;
+  Row.Accepted_.Spec_ = plainJob({plainStep(1)});
+  Row.Progress_.Open_ = {{0, {{{false}, {{0, {2'500}}}}}}};
+  Row.Progress_.DoneBefore_ = 1;
+  scheduler::State S = scheduler::makeState({}, {}, {});
+  scheduler::onJob(S, "j1", Row, true, TimePoint{}, 0);
+  cr_assert_eq(S.Jobs_.at("j1").Open_.at(0).Steps_[0].Tasks_[0].LastRun_,
+               2'500u);
+}
