Leases: nothing of a worker's former incarnation applies to the next one

Cause: deadlines of leases are times on the worker's clock, which starts anew when the worker restarts under its id. An idle worker that was back before the next renewal got a deadline by its former clock; it shortened that to holdMaxMs, 10 s, while the owner counted on 3.4 s. When it was cut off after that, the owner started its task elsewhere while the lease held. A start that is sent again carried such a deadline, too.

Not covered: a call of the former life that the worker executes after the owner has seen the new one; a lease of that kind granted by an owner that dies before it knows (docs/incidents).

The stand-in worker of the scheduler's tests now shortens leases to 10 s and starts its clock anew when it restarts, and the registry shows a restart only 0.4 s later; the tests and schedules that restart workers use that.

--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -137,6 +137,10 @@
   TimePoint SilentSince_{}; ///< When the first conclusive miss was sent.
   /// Latest expiry of the leases that this owner has granted there.
   TimePoint LeaseEndsAt_{};
+  /// When the last renewal was sent that has been answered.
+  TimePoint AnsweredSentAt_{};
+  /// When a lease was last sent by a start or by an unanswered renewal.
+  TimePoint LooseLeaseSentAt_{};
   std::uint64_t SeenEnd_ = 0;   ///< Highest number of an end processed.
   std::uint64_t StoredEnd_ = 0; ///< Ends up to this number are stored.
   std::set<JobId> FailedJobs_;  ///< Jobs with failures there since a success.
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -61,6 +61,9 @@
 /// \p Reason.
 void abandonTasks(State &State, Worker &W, TimePoint Now, Outbox &Out,
                   const char *Reason);
+/// Whether the incarnation that answered last is the newest one known, so that
+/// its clock can be used for deadlines.
+bool isClockCurrent(const Worker &W);
 /// Resources available to new tasks.
 Resources freeResources(const Worker &W);
 /// Whether new tasks may start on the worker.
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -197,6 +197,7 @@
   R.InFlight_ = true;
   R.SettledAt_.reset();
   extendLease(State, W, State.Options_.StartDeadline_, Now);
+  W.LooseLeaseSentAt_ = Now;
   return Call;
 }
 
@@ -213,14 +214,17 @@
       continue;
     // The whole gang is done when one of its members is.
     R.StopRequested_ = R.StopRequested_ || T->Done_;
+    const Worker &W = State.Workers_.at(R.Worker_);
     if (!R.StopRequested_) {
+      // The deadline would be a time on the clock of an ended incarnation.
+      if (!isClockCurrent(W))
+        continue;
       count(State.Counters_, "start-resent");
       Out.Starts_.push_back(makeStart(State, Id, Now));
       continue;
     }
     R.InFlight_ = true;
-    Out.Stops_.push_back(
-        {makeTarget(State, State.Workers_.at(R.Worker_)), Id, R.Number_});
+    Out.Stops_.push_back({makeTarget(State, W), Id, R.Number_});
   }
 }
 
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -51,6 +51,10 @@
   return W.Clock_ + elapsed(W.ClockAt_, Now);
 }
 
+bool isClockCurrent(const Worker &W) {
+  return W.Info_.StartedUnixMs_ <= W.Incarnation_;
+}
+
 Target makeTarget(const State &State, const Worker &W) {
   Target To{W.Info_.Id_, W.Info_.Address_, State.Options_.Token_};
   if (State.LastTick_ < State.LossyUntil_)
@@ -63,8 +67,12 @@
 }
 
 bool acceptsTasks(const Worker &W, TimePoint Now) {
-  return W.InRegistry_ && W.Rostered_ && W.RunsKnown_ && !W.Info_.Draining_ &&
-         W.Misses_ < MissesBeforeAvoiding && Now >= W.AvoidUntil_;
+  // After a restart, the registry may still show the service, the capacity and
+  // the labels of the former incarnation.
+  bool SameIncarnation = W.Info_.StartedUnixMs_ == W.Incarnation_;
+  return W.InRegistry_ && W.Rostered_ && W.RunsKnown_ && SameIncarnation &&
+         !W.Info_.Draining_ && W.Misses_ < MissesBeforeAvoiding &&
+         Now >= W.AvoidUntil_;
 }
 
 bool canHost(const Worker &W, const Job &J, const workflow::StepSpec &Spec,
@@ -106,8 +114,9 @@
       continue;
     RenewCall Call{makeTarget(State, W), W.StoredEnd_};
     // A worker that does not answer may be gone. Its tasks start elsewhere once
-    // its leases have expired, so no further lease is granted.
-    if (W.RunsKnown_ && W.Misses_ == 0 && W.Rostered_) {
+    // its leases have expired, so no further lease is granted. Nor is one if it
+    // has restarted: its new clock is not known yet.
+    if (W.RunsKnown_ && W.Misses_ == 0 && W.Rostered_ && isClockCurrent(W)) {
       Milliseconds Lease = State.StoreUnreachable_ ? State.Options_.OutageLease_
                                                    : State.Options_.Lease_;
       Call.LeaseUntil_ = workerClock(W, Now) + Lease;
@@ -282,19 +291,36 @@
   }
 }
 
-void handleMiss(State &State, Worker &W, TimePoint SentAt, TimePoint Now) {
+void handleMiss(State &State, Worker &W, const RenewCall &Call,
+                TimePoint SentAt, TimePoint Now) {
+  if (Call.LeaseUntil_)
+    W.LooseLeaseSentAt_ = std::max(W.LooseLeaseSentAt_, SentAt);
   recordMissedRenewal(State, W, SentAt, Now);
   count(State.Counters_, "renewal-no-answer");
   recordLostAnswer(State, Now);
   W.RenewDueAt_ = Now + RenewRetryInterval;
 }
 
-/// Resets the numbering of ends if the worker has restarted.
-void updateIncarnation(State &State, Worker &W, const RenewReply &Reply) {
+/// Accounts for leases that were computed from the clock of the former
+/// incarnation and may have reached the present one. As its clock is lower, it
+/// shortened them only to the longest lease that it grants.
+void extendMisreadLease(State &State, Worker &W, const RenewCall &Call,
+                        TimePoint Now) {
+  if (!Call.LeaseUntil_ && W.LooseLeaseSentAt_ < W.AnsweredSentAt_)
+    return;
+  count(State.Counters_, "lease-misread");
+  extendLease(State, W, State.Options_.MaxLease_, Now);
+}
+
+/// Resets what belongs to the former incarnation if the worker has restarted.
+void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
+                       const RenewReply &Reply, TimePoint Now) {
   if (W.RunsKnown_ && W.Incarnation_ == Reply.StartedUnixMs_)
     return;
-  if (W.RunsKnown_)
+  if (W.RunsKnown_) {
     count(State.Counters_, "worker-restarted");
+    extendMisreadLease(State, W, Call, Now);
+  }
   W.Incarnation_ = Reply.StartedUnixMs_;
   W.SeenEnd_ = W.StoredEnd_ = 0;
   W.FailedJobs_.clear();
@@ -354,13 +380,13 @@
     detail::confirmWorker(State, Call.Target_.Worker_);
     W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
     detail::abandonTasks(State, W, Now, Out, "replaced");
-    detail::handleMiss(State, W, SentAt, Now);
+    detail::handleMiss(State, W, Call, SentAt, Now);
     W.RenewDueAt_ = Now + Milliseconds(1'000);
     return;
   }
   if (Reply.Status_ != CallStatus::Done) {
     detail::traceMiss(State, W, Call, SentAt, Now, Out);
-    detail::handleMiss(State, W, SentAt, Now);
+    detail::handleMiss(State, W, Call, SentAt, Now);
     return;
   }
   if (std::size_t Unreadable = Reply.UnreadableRuns_ + Reply.UnreadableEnds_)
@@ -369,8 +395,9 @@
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
   bool First = !W.RunsKnown_;
-  detail::updateIncarnation(State, W, Reply);
+  detail::updateIncarnation(State, W, Call, Reply, Now);
   W.RunsKnown_ = true;
+  W.AnsweredSentAt_ = SentAt;
   for (const EndedTask &End : Reply.Ended_) {
     if (End.Number_ <= W.SeenEnd_) {
       detail::traceKnownEnd(State, Call.Target_.Worker_, End, Out);
--- a/packages/scheduler/tests/unit-gangs.cpp
+++ b/packages/scheduler/tests/unit-gangs.cpp
@@ -46,7 +46,7 @@
   };
   C.submit("j1", plainJob({gangOf(3)}));
   C.run(Milliseconds(400));
-  restart(C.worker("b"), 777);
+  C.restartWorker("b");
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
                        Milliseconds(6'000)));
   cr_assert_eq(C.Starts_.size(), 6u);
@@ -62,7 +62,7 @@
   C.submit("j1", plainJob({gangOf(2)}));
   C.run(Milliseconds(400));
   auto &P = C.owner().State_.Jobs_.at("j1").Open_.at(0).Steps_[0];
-  restart(C.worker(P.Tasks_[0].Run_->Worker_), 777);
+  C.restartWorker(P.Tasks_[0].Run_->Worker_);
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
   cr_assert_eq(P.GangCheckpoint_, "saved");
 }
--- a/packages/scheduler/tests/unit-orders.cpp
+++ b/packages/scheduler/tests/unit-orders.cpp
@@ -56,7 +56,7 @@
   FleetCell C({"a", "b", "c"});
   C.beginBusy(4, Milliseconds(2'000), Milliseconds(500));
   std::string Where = C.Starts_.front().substr(C.Starts_.front().size() - 1);
-  restart(C.worker(Where), 999);
+  C.restartWorker(Where);
   cr_assert(
       C.runUntil([&] { return C.Starts_.size() == 8; }, Milliseconds(3'500)));
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
--- /dev/null
+++ b/packages/scheduler/tests/unit-restarts.cpp
@@ -0,0 +1,92 @@
+/// Workers that restart under their id: nothing of the former incarnation, its
+/// clock and its registry entry included, applies to the next one.
+#include "fleet/fleet_cell.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pollenvale;
+using namespace pollenvale::fleettest;
+using workflow::JobState;
+
+namespace {
+
+/// Longest validity of a lease that an owner grants knowingly.
+constexpr Milliseconds LongestLease{5'000};
+
+/// A cell with the idle worker "a", which has answered its owner for a while.
+struct IdleCell : FleetCell {
+  IdleCell() : FleetCell({"a"}) {
+    takeOver();
+    run(Milliseconds(5'000));
+  }
+
+  /// Time that is left of the leases on "a".
+  Milliseconds leaseLeft() { return elapsed(Now_, worker("a").LeaseEndsAt_); }
+};
+
+} // namespace
+
+// Guards against TWICE: a worker restarts unnoticed between two renewals and is
+// then cut off. The deadline of the next renewal, on its former clock, had
+// given it the longest lease that it grants, and its task ran on by that lease
+// while the owner started it elsewhere.
+Test(restarts, a_lease_by_the_former_clock_is_waited_for) {
+  IdleCell C;
+  C.setRunTime(Milliseconds(12'000));
+  C.restartWorker("a", Milliseconds(2'000));
+  C.run(Milliseconds(2'500));
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 1; }));
+  C.addWorker("b");
+  C.run(Milliseconds(300));
+  C.worker("a").Cut_ = true;
+  C.run(Milliseconds(4'000));
+  scheduler::onWorkerGone(C.owner().State_, "a", C.Now_);
+  C.run(Milliseconds(20'000));
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+}
+
+// The registry often shows the restart before the next renewal is due.
+Test(restarts, no_lease_is_granted_before_the_new_clock_is_known) {
+  IdleCell C;
+  C.restartWorker("a", Milliseconds(50));
+  C.run(Milliseconds(3'000));
+  cr_assert_gt(C.leaseLeft().count(), 0);
+  cr_assert_leq(C.leaseLeft().count(), LongestLease.count());
+}
+
+// A start that is sent again carries a deadline, too.
+Test(restarts, a_start_is_not_repeated_with_a_deadline_on_the_former_clock) {
+  IdleCell C;
+  C.setRunTime(Milliseconds(60'000));
+  C.worker("a").Cut_ = true;
+  C.submit("j1", plainJob({plainStep(1)}));
+  C.run(Milliseconds(200));
+  cr_assert_not(C.owner().State_.Workers_.at("a").Tasks_.empty(),
+                "a start is unanswered");
+  C.restartWorker("a", Milliseconds(0));
+  C.run(Milliseconds(50));
+  C.worker("a").Cut_ = false;
+  C.run(Milliseconds(400));
+  cr_assert_leq(C.leaseLeft().count(), LongestLease.count());
+  cr_assert(C.runUntil(
+      [&] {
+        return !C.whereIs({{"j1", 0, 0}, 0}).empty();
+      },
+      Milliseconds(5'000)));
+}
+
+// Guards against LIMIT and ROUTE: the registry still shows the capacity, the
+// labels and the service of the former incarnation.
+Test(restarts, no_task_starts_by_the_entry_of_the_former_incarnation) {
+  IdleCell C;
+  C.worker("a").Info_.Capacity_.Cpu_ = 2'000;
+  C.restartWorker("a", Milliseconds(4'000));
+  C.run(Milliseconds(2'000));
+  C.submit("j1", plainJob({plainStep(6)}));
+  C.run(Milliseconds(1'000));
+  cr_assert(C.Starts_.empty());
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+}
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -118,7 +118,7 @@
   C.beginBusy(1, Milliseconds(60'000), Milliseconds(300));
   C.killOwner();
   for (auto &[Id, W] : C.Workers_)
-    restart(W, 500 + std::int64_t(Id[0]));
+    C.restartWorker(Id);
   C.takeOver();
   C.run(Milliseconds(2'000));
   cr_assert_eq(C.Starts_.size(), 2u);
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -9,6 +9,8 @@
 constexpr Milliseconds StopDuration{100};
 /// A member of a gang ends if the other members have not been started by then.
 constexpr Milliseconds GangStartLimit{3'000};
+/// Longer leases are shortened to this.
+constexpr Milliseconds MaxLease{10'000};
 
 } // namespace
 
@@ -32,7 +34,7 @@
 }
 
 void extend(FakeWorker &W, Milliseconds Until, TimePoint Now) {
-  TimePoint End = Now + (Until - clockOf(W, Now));
+  TimePoint End = Now + std::min(Until - clockOf(W, Now), MaxLease);
   W.LeaseEndsAt_ = std::max(W.LeaseEndsAt_, End);
 }
 
@@ -59,7 +61,7 @@
   }
 }
 
-void restart(FakeWorker &W, std::int64_t StartedUnixMs) {
+void restart(FakeWorker &W, std::int64_t StartedUnixMs, TimePoint Now) {
   W.Runs_.clear();
   W.HighestPastRuns_.clear();
   W.Ends_.clear();
@@ -68,6 +70,7 @@
   W.Token_ = 0;
   W.LeaseEndsAt_ = {};
   W.Info_.StartedUnixMs_ = StartedUnixMs;
+  W.ClockShift_ = -elapsed(TimePoint{}, Now);
 }
 
 scheduler::OrderReply start(FakeWorker &W, const scheduler::StartCall &C,
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -67,8 +67,9 @@
 void end(FakeWorker &W, const TaskId &Id, EndKind Kind, TimePoint Now);
 /// Ends every run that is complete, stopped or without a lease at \p Now.
 void advance(FakeWorker &W, TimePoint Now);
-/// Restarts the worker's process; all its state is lost.
-void restart(FakeWorker &W, std::int64_t StartedUnixMs);
+/// Restarts the worker's process; all its state is lost and its clock starts
+/// anew.
+void restart(FakeWorker &W, std::int64_t StartedUnixMs, TimePoint Now);
 
 scheduler::OrderReply start(FakeWorker &W, const scheduler::StartCall &C,
                             const TaskTraits &N, TimePoint Now);
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -85,6 +85,18 @@
 
 void FleetCell::killOwner() { owner().Alive_ = false; }
 
+void FleetCell::restartWorker(const WorkerId &Id, Milliseconds RegistryDelay) {
+  FakeWorker &W = Workers_.at(Id);
+  restart(W, W.Info_.StartedUnixMs_ + 1'000, Now_);
+  at(Now_ + RegistryDelay, [this, Id, Info = W.Info_] {
+    const FakeWorker &W = Workers_.at(Id);
+    if (!W.Alive_ || W.Info_.StartedUnixMs_ != Info.StartedUnixMs_)
+      return;
+    for (auto &O : Owners_)
+      scheduler::onWorker(O->State_, W.Info_, Now_);
+  });
+}
+
 void FleetCell::drain(const WorkerId &Id) {
   FakeWorker &W = Workers_.at(Id);
   W.Info_.Draining_ = true;
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -75,6 +75,10 @@
   void beginBusy(std::uint32_t Tasks, Milliseconds RunTime,
                  Milliseconds HeadStart);
   void killOwner();
+  /// Restarts the worker's process under its id. The registry shows it
+  /// \p RegistryDelay later.
+  void restartWorker(const WorkerId &Id,
+                     Milliseconds RegistryDelay = Milliseconds(400));
   /// Marks the worker as draining and notifies all owners.
   void drain(const WorkerId &Id);
   /// Ends the worker and all its runs, and removes it from the registry.
--- a/tests/fleet/run-fleet-schedules.cpp
+++ b/tests/fleet/run-fleet-schedules.cpp
@@ -65,10 +65,8 @@
     W.Cut_ = !W.Cut_;
     break;
   case 4:
-    if (W.Alive_ && !W.Cut_) {
-      restart(W, ++LastSerial);
-      scheduler::onWorker(C.owner().State_, W.Info_, C.Now_);
-    }
+    if (W.Alive_ && !W.Cut_)
+      C.restartWorker(Any->first);
     break;
   case 5:
     C.StoreDown_ = !C.StoreDown_;
