Take-over: a list that omits ends confirms no worker

Cause: a worker lists at most 500 ends at a time. A new owner took the first list for the whole: the worker counted as confirmed, and inherited tasks of which neither run nor end was listed could start. detachAbsentRuns() knew that such a list is incomplete; the wait for inherited tasks did not.

Change: one check of completeness for both uses. An incomplete list confirms nothing: the ends are stored and acknowledged, and the next lists show the others. Rows that can't be read may stay so; they delay inherited tasks until the leases of earlier owners have expired, as a silent worker does.

The stand-in worker of the scheduler's tests lists at most 500 ends now.

--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -193,11 +193,35 @@
 
 namespace {
 
-/// Records that no unknown inherited tasks can run on the worker any more.
+/// Limit of ends in one list. A worker with more ends lists them next time.
+constexpr std::size_t MaxEndsListed = 500;
+
+/// Whether the list contains every run and every end. One that does not proves
+/// nothing about a task that it lacks: an omitted or unreadable row may be its
+/// run or its end.
+bool isComplete(const RenewReply &Reply) {
+  return Reply.UnreadableRuns_ == 0 && Reply.UnreadableEnds_ == 0 &&
+         Reply.Ended_.size() < MaxEndsListed;
+}
+
+/// Records that no unknown inherited tasks run on the worker or have ended
+/// there.
 void confirmWorker(State &State, const WorkerId &Id) {
   State.UnconfirmedWorkers_.erase(Id);
 }
 
+/// Confirms the worker if its list tells what became of every inherited task.
+/// Omitted ends are listed once those before them have been acknowledged. Rows
+/// that can't be read may never become readable: they delay inherited tasks
+/// only as long as a silent worker does.
+void confirmByList(State &State, const WorkerId &Id, const RenewReply &Reply,
+                   TimePoint Now) {
+  bool Omitted = Reply.Ended_.size() >= MaxEndsListed;
+  bool WaitedLongEnough = Now >= State.Options_.InheritedLeasesEndAt_;
+  if (isComplete(Reply) || (!Omitted && WaitedLongEnough))
+    confirmWorker(State, Id);
+}
+
 /// Attaches a run that an earlier owner started.
 void adoptRun(State &State, Worker &W, const RunningTask &R, TimePoint Now) {
   const workflow::StepSpec *Spec = findSpec(State, R.Task_.Step_);
@@ -262,17 +286,11 @@
   }
 }
 
-/// Limit of ends in one list. A worker with more ends lists them next time.
-constexpr std::size_t MaxEndsListed = 500;
-
-/// Detaches runs that have ended, as a list requested after they were settled
-/// lacks them. An incomplete list proves nothing: unreadable or omitted rows
-/// may be those runs or their ends.
+/// Detaches runs that have ended, as a complete list requested after they were
+/// settled lacks them.
 void detachAbsentRuns(State &State, Worker &W, const RenewReply &Reply,
                       TimePoint SentAt, TimePoint Now, Outbox &Out) {
-  bool Complete = Reply.UnreadableRuns_ == 0 && Reply.UnreadableEnds_ == 0 &&
-                  Reply.Ended_.size() < MaxEndsListed;
-  if (!Complete)
+  if (!isComplete(Reply))
     return;
   std::set<TaskId> Listed;
   for (const RunningTask &R : Reply.Running_)
@@ -411,7 +429,7 @@
   detail::detachAbsentRuns(State, W, Reply, SentAt, Now, Out);
   detail::adjustThrottle(State, W, Reply, Out);
   detail::stopStalled(State, W, Now, Out);
-  detail::confirmWorker(State, Call.Target_.Worker_);
+  detail::confirmByList(State, Call.Target_.Worker_, Reply, Now);
   if (First) {
     State.PlacementNeeded_ = true;
     Out.Notes_.push_back({"worker-known",
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -134,3 +134,39 @@
   C.StoreDown_ = false;
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
 }
+
+// Guards against TWICE: a worker lists at most 500 ends at a time, and a new
+// owner that takes such a list for the whole starts tasks again that have ended
+// there as done.
+Test(takeover, a_list_that_omits_ends_does_not_settle_inherited_tasks) {
+  constexpr std::uint32_t Tasks = 1'800;
+  FleetCell C;
+  C.addPlainQueue();
+  C.addWorker("a", {64'000, 64'000, 0});
+  C.setRunTime(Milliseconds(2'500));
+  C.takeOver();
+  workflow::StepSpec Step = plainStep(Tasks);
+  Step.Size_ = {25, 25, 0};
+  C.submit("j1", plainJob({Step}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == Tasks; },
+                       Milliseconds(2'000)));
+  C.killOwner();
+  C.run(Milliseconds(2'600));
+  cr_assert_eq(C.worker("a").Ends_.size(), Tasks);
+  C.takeOver();
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), Tasks);
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+}
+
+// Guards against LOST: inherited tasks must not wait for ever for a list whose
+// rows can't be read.
+Test(takeover, a_list_with_unreadable_rows_delays_inherited_tasks_for_a_while) {
+  FleetCell C({"a", "b"});
+  C.beginBusy(4, Milliseconds(60'000), Milliseconds(300));
+  C.killOwner();
+  C.worker("a").HidesRuns_ = true;
+  C.takeOver();
+  C.run(Milliseconds(20'000));
+  cr_assert_not(C.owner().State_.InheritancePending_);
+}
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fake_worker.hpp"
 
+#include <algorithm>
+
 namespace pollenvale::fleettest {
 
 using scheduler::CallStatus;
@@ -9,6 +11,8 @@
 constexpr Milliseconds StopDuration{100};
 /// A member of a gang ends if the other members have not been started by then.
 constexpr Milliseconds GangStartLimit{3'000};
+/// Limit of ends in one list.
+constexpr std::size_t MaxEndsListed = 500;
 /// Longer leases are shortened to this.
 constexpr Milliseconds MaxLease{10'000};
 
@@ -139,7 +143,8 @@
     extend(W, *C.LeaseUntil_, Now);
   std::erase_if(W.Ends_,
                 [&](const EndedTask &E) { return E.Number_ <= C.AckedEnd_; });
-  Out.Ended_ = W.Ends_;
+  auto Listed = std::min(W.Ends_.size(), MaxEndsListed);
+  Out.Ended_.assign(W.Ends_.begin(), W.Ends_.begin() + std::ptrdiff_t(Listed));
   if (W.HidesRuns_) {
     Out.UnreadableRuns_ = W.Runs_.size();
     return Out;
