Owner: starts no scheduling while its copy of the jobs is being loaded

Found by reading, on the list of paths on which an incomplete answer is taken for a whole one: a new owner begins once its copy has reached its fence. A copy that loads again (the store has forgotten records, or contradicted the copy) keeps its former position meanwhile, with the records of some pages applied and others not.

No test: the condition stands in SliceOwner, which has no test program of its own; nothing was seen to fail.

--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -119,9 +119,9 @@
 void SliceOwner::runDueWork(bool MayOrder, bool StoreStale) {
   if (Stage_ == Stage::Fencing)
     sendFence();
-  if (Stage_ == Stage::CatchingUp && Context_.Partition_->Tail_.Loaded_ &&
-      Context_.Partition_->Tail_.Next_ > FenceOffset_ &&
-      Context_.Registry_->isLoaded())
+  const ledger::Tail &Tail = Context_.Partition_->Tail_;
+  if (Stage_ == Stage::CatchingUp && Tail.Loaded_ && !Tail.Loading_ &&
+      Tail.Next_ > FenceOffset_ && Context_.Registry_->isLoaded())
     startScheduling();
   if (Stage_ != Stage::Running || !MayOrder)
     return;
