Repeated jobs: each open occurrence has a record of its own

Cause: the progress of a job was one record with all its open occurrences. The owner writes one append at a time, and a refused one is repeated under its number every 200 ms, so nothing of any job was stored and no end acknowledged.

Change: - The record of a repeated job names its open occurrences; the progress of each is a record of its own, whose size the check at acceptance bounds. It is written when it changes, not with all others, and removed when the occurrence is done. The order of a round (the record of the job first, a removal never before it) keeps every prefix of the writes true. Jobs without a schedule are stored as before; older records are read. - Acceptance bounds the number of repeats by the size of a record, too. - Changes are written in rounds, and ends acknowledged with the round that stores them: a job that changes all the time delays no acknowledgement. - What still outgrows a record (over four failures of nearly all tasks of a very wide job) fails its job, with a log line, in place of stopping the service.

An entry of an earlier build doesn't read the new records: it must not take over a repeated job that this build has begun.

--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -210,8 +210,9 @@
     ledger::scheduleReadBy(Copy->second.Tail_, T.Now_);
 }
 
-/// True, or BadSpec if the store would refuse the record of the job, or that of
-/// its progress when all its tasks have failed several times.
+/// True, or BadSpec if the store would refuse the record of the job, that of an
+/// occurrence when all its tasks have failed several times, or that of the
+/// progress when all occurrences are open.
 Result<bool> checkSize(const ledger::KeyedRecord &Record,
                        const workflow::WorkflowSpec &Spec,
                        const ledger::StoreLimits &Limits) {
@@ -226,6 +227,12 @@
     return makeError(ErrorKind::BadSpec,
                      "steps: " + std::to_string(workflow::taskCount(Spec)) +
                          " tasks, at most " + std::to_string(MaxTasks));
+  std::size_t MaxRepeats =
+      Limits.RecordBytes_ / workflow::MaxBytesPerOpenOccurrence;
+  if (Spec.Repeats_ > MaxRepeats)
+    return makeError(ErrorKind::BadSpec,
+                     "repeats: " + std::to_string(Spec.Repeats_) +
+                         ", at most " + std::to_string(MaxRepeats));
   return true;
 }
 
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -26,13 +26,22 @@
   MSGPACK_DEFINE(Workers_, Claim_, Settled_)
 };
 
-enum class RecordKind { Job, Cancel, Progress, Roster, Fence, Unknown };
+enum class RecordKind {
+  Job,
+  Cancel,
+  Progress,
+  Occurrence,
+  Roster,
+  Fence,
+  Unknown
+};
 
 /// Kind of a record and the job or slice that it is about, as told by its key.
 struct RecordName {
   RecordKind Kind_ = RecordKind::Unknown;
-  JobId Job_;         ///< Of a Job, Cancel or Progress record; else empty.
-  std::string Slice_; ///< Of a Roster or Fence record; else empty.
+  JobId Job_;                    ///< Empty for a Roster or Fence record.
+  std::string Slice_;            ///< Of a Roster or Fence record; else empty.
+  std::uint32_t Occurrence_ = 0; ///< Of an Occurrence record; else 0.
 };
 /// Kind Unknown if \p Key has no name or no known prefix.
 RecordName nameOf(const std::string &Key);
@@ -40,17 +49,26 @@
 KeyedRecord makeJob(const JobId &Job, const AcceptedJob &Record);
 KeyedRecord makeCancel(const JobId &Job);
 KeyedRecord makeProgress(const JobId &Job, const workflow::Progress &Record);
+/// Progress of one occurrence of a repeated job.
+KeyedRecord makeOccurrence(const JobId &Job,
+                           const workflow::OccurrenceProgress &Record);
+/// Record without a value, which removes the key of an occurrence.
+KeyedRecord makeOccurrenceRemoval(const JobId &Job, std::uint32_t Occurrence);
 KeyedRecord makeRoster(const std::string &Slice, const Roster &Record);
 /// First record that a new owner of \p Slice writes. Records before it are from
 /// earlier owners.
 KeyedRecord makeFence(const std::string &Slice, std::uint64_t Claim);
-/// Records without a value, which remove every key of \p Job.
+/// Records without a value, which remove every key of \p Job but those of its
+/// occurrences.
 std::vector<KeyedRecord> makeRemoval(const JobId &Job);
 
 /// Empty if \p Value can't be decoded or its workflow is invalid.
 std::optional<AcceptedJob> parseJob(const std::string &Value);
 /// Empty if \p Value can't be decoded.
 std::optional<workflow::Progress> parseProgress(const std::string &Value);
+/// Empty if \p Value can't be decoded.
+std::optional<workflow::OccurrenceProgress>
+parseOccurrence(const std::string &Value);
 /// Claim number of a fence; 0 if \p Value does not begin with a number.
 std::uint64_t parseFence(const std::string &Value);
 /// Empty if \p Value can't be decoded.
--- a/packages/ledger/detail/replica.hpp
+++ b/packages/ledger/detail/replica.hpp
@@ -8,6 +8,13 @@
 
 namespace pollenvale::ledger {
 
+/// Stored progress of one occurrence of a repeated job. Kept encoded, as only
+/// an owner reads it.
+struct StoredOccurrence {
+  std::string Value_;
+  Offset Offset_ = 0; ///< As ReplicatedJob::ProgressOffset_.
+};
+
 /// What the records of one job say.
 struct ReplicatedJob {
   AcceptedJob Accepted_;
@@ -17,6 +24,9 @@
   /// Offset of the record of Progress_; 0 if there is none or a load has begun
   /// since it was applied.
   Offset ProgressOffset_ = 0;
+  /// By number. May contain occurrences that are done, which Progress_ no
+  /// longer lists.
+  std::map<std::uint32_t, StoredOccurrence> Occurrences_;
 };
 
 /// Jobs and rosters of one partition.
--- a/packages/ledger/src/record.cpp
+++ b/packages/ledger/src/record.cpp
@@ -1,5 +1,7 @@
 #include "ledger/ledger.hpp"
 
+#include <charconv>
+
 namespace pollenvale::ledger {
 
 namespace {
@@ -7,11 +9,29 @@
 constexpr char JobPrefix = 'j';
 constexpr char CancelPrefix = 'c';
 constexpr char ProgressPrefix = 'p';
+constexpr char OccurrencePrefix = 'o';
 constexpr char FencePrefix = 'f';
 constexpr char RosterPrefix = 'r';
 
 std::string keyOf(char Prefix, const JobId &Job) { return Prefix + Job; }
 
+std::string occurrenceKey(const JobId &Job, std::uint32_t Occurrence) {
+  return keyOf(OccurrencePrefix, Job) + "." + std::to_string(Occurrence);
+}
+
+/// Name of an occurrence's record from its key without the prefix.
+RecordName occurrenceName(const std::string &Name) {
+  std::size_t Dot = Name.rfind('.');
+  if (Dot == std::string::npos || Dot == 0)
+    return {};
+  std::uint32_t Number = 0;
+  const char *End = Name.data() + Name.size();
+  auto Parsed = std::from_chars(Name.data() + Dot + 1, End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return {};
+  return {RecordKind::Occurrence, Name.substr(0, Dot), {}, Number};
+}
+
 } // namespace
 
 RecordName nameOf(const std::string &Key) {
@@ -24,6 +44,8 @@
     return {RecordKind::Cancel, Key.substr(1), {}};
   case ProgressPrefix:
     return {RecordKind::Progress, Key.substr(1), {}};
+  case OccurrencePrefix:
+    return occurrenceName(Key.substr(1));
   case FencePrefix:
     return {RecordKind::Fence, {}, Key.substr(1)};
   case RosterPrefix:
@@ -45,6 +67,15 @@
   return {keyOf(ProgressPrefix, Job), pack(Record)};
 }
 
+KeyedRecord makeOccurrence(const JobId &Job,
+                           const workflow::OccurrenceProgress &Record) {
+  return {occurrenceKey(Job, Record.Number_), pack(Record)};
+}
+
+KeyedRecord makeOccurrenceRemoval(const JobId &Job, std::uint32_t Occurrence) {
+  return {occurrenceKey(Job, Occurrence), ""};
+}
+
 KeyedRecord makeRoster(const std::string &Slice, const Roster &Record) {
   return {RosterPrefix + Slice, pack(Record)};
 }
@@ -70,6 +101,11 @@
   return unpack<workflow::Progress>(Value);
 }
 
+std::optional<workflow::OccurrenceProgress>
+parseOccurrence(const std::string &Value) {
+  return unpack<workflow::OccurrenceProgress>(Value);
+}
+
 std::uint64_t parseFence(const std::string &Value) {
   return std::strtoull(Value.c_str(), nullptr, 10);
 }
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -44,10 +44,29 @@
   return {Change::Kind::Progress, Id};
 }
 
+/// Callers see no difference between occurrences: there is no change to tell.
+void applyOccurrence(Replica &Copy, const RecordName &Name,
+                     const KeyedRecord &R) {
+  StoredOccurrence &Stored =
+      findOrAddJob(Copy, Name.Job_).Occurrences_[Name.Occurrence_];
+  if (R.Offset_ >= Stored.Offset_)
+    Stored = {R.Value_, R.Offset_};
+}
+
+void removeOccurrence(Replica &Copy, const RecordName &Name) {
+  for (auto *Jobs : {&Copy.Jobs_, &Copy.EarlyJobs_})
+    if (auto It = Jobs->find(Name.Job_); It != Jobs->end())
+      It->second.Occurrences_.erase(Name.Occurrence_);
+}
+
 } // namespace
 
 Change apply(Replica &Copy, const KeyedRecord &R) {
   RecordName Name = nameOf(R.Key_);
+  if (R.Value_.empty() && Name.Kind_ == RecordKind::Occurrence) {
+    removeOccurrence(Copy, Name);
+    return {};
+  }
   if (R.Value_.empty()) {
     bool Known = Name.Kind_ == RecordKind::Job && Copy.Jobs_.erase(Name.Job_);
     Copy.EarlyJobs_.erase(Name.Job_);
@@ -61,6 +80,9 @@
     return {Change::Kind::Cancelled, Name.Job_};
   case RecordKind::Progress:
     return applyProgress(Copy, Name.Job_, R);
+  case RecordKind::Occurrence:
+    applyOccurrence(Copy, Name, R);
+    return {};
   case RecordKind::Roster:
     if (auto Roster = parseRoster(R.Value_))
       Copy.Rosters_[Name.Slice_] = std::move(*Roster);
@@ -78,8 +100,11 @@
 
 void beginLoad(Replica &Copy) {
   for (auto *Jobs : {&Copy.Jobs_, &Copy.EarlyJobs_})
-    for (auto &[Id, Job] : *Jobs)
+    for (auto &[Id, Job] : *Jobs) {
       Job.ProgressOffset_ = 0;
+      for (auto &[Number, Stored] : Job.Occurrences_)
+        Stored.Offset_ = 0;
+    }
 }
 
 JobState effectiveState(const ReplicatedJob &Job) {
--- a/packages/ledger/tests/unit-replica.cpp
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -110,3 +110,39 @@
   apply(Copy, progressRecord(JobState::Completed, 7));
   cr_assert(effectiveState(Copy.Jobs_.at("j1")) == JobState::Completed);
 }
+
+// Guards against TWICE: progress of an occurrence that goes back, or that is
+// mistaken for that of another one.
+Test(replica, occurrences_are_kept_apart_and_never_go_back) {
+  Replica Copy;
+  auto Apply = [&](std::uint32_t Number, std::vector<bool> Done, Offset At) {
+    KeyedRecord R = makeOccurrence("j1", {Number, {{std::move(Done), {}}}});
+    R.Offset_ = At;
+    apply(Copy, R);
+  };
+  auto DoneOf = [&](std::uint32_t Number) {
+    const auto &Stored = Copy.EarlyJobs_.at("j1").Occurrences_.at(Number);
+    return parseOccurrence(Stored.Value_)->Steps_.at(0).Done_;
+  };
+  Apply(3, {true, false}, 10);
+  Apply(12, {false, true}, 11);
+  Apply(3, {false, false}, 9);
+  cr_assert(DoneOf(3) == std::vector<bool>({true, false}));
+  cr_assert(DoneOf(12) == std::vector<bool>({false, true}));
+  beginLoad(Copy);
+  Apply(3, {true, true}, 8);
+  cr_assert(DoneOf(3) == std::vector<bool>({true, true}));
+  apply(Copy, makeOccurrenceRemoval("j1", 3));
+  cr_assert_eq(Copy.EarlyJobs_.at("j1").Occurrences_.size(), 1u);
+  apply(Copy, makeOccurrenceRemoval("j9", 3));
+  cr_assert_not(Copy.EarlyJobs_.count("j9"));
+}
+
+Test(replica, names_of_occurrences) {
+  RecordName Name = nameOf("oab.cd.17");
+  cr_assert(Name.Kind_ == RecordKind::Occurrence);
+  cr_assert_eq(Name.Job_, "ab.cd");
+  cr_assert_eq(Name.Occurrence_, 17u);
+  for (const char *Bad : {"oab", "o.1", "oab.", "oab.x", "oab.1x", "oab.-1"})
+    cr_assert(nameOf(Bad).Kind_ == RecordKind::Unknown, "%s", Bad);
+}
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -105,7 +105,8 @@
   std::map<std::uint32_t, Occurrence> Open_; ///< Due and unfinished.
   std::uint32_t NextOccurrence_ = 0; ///< Number of the next one to come due.
   bool Inherited_ = false; ///< Accepted before this owner claimed the slice.
-  bool Dirty_ = false;     ///< Its progress must be written to the store.
+  /// Occurrences that have, or may have, a record of their own in the store.
+  std::set<std::uint32_t> StoredOccurrences_;
   TimePoint AcceptedAt_{};
   Milliseconds Objective_{0}; ///< Of each occurrence, from its CameDueAt_.
   TimePoint ClosedAt_{};
@@ -182,6 +183,21 @@
   std::uint64_t End_ = 0; ///< Highest number covered.
 };
 
+/// Names a record of the progress of a job: that of one occurrence or that of
+/// the job itself, which sorts first.
+struct ProgressId {
+  JobId Job_;
+  std::optional<std::uint32_t> Occurrence_;
+  auto operator<=>(const ProgressId &) const = default;
+};
+
+/// Changes that are written together, by one write or by several in a row.
+struct WriteRound {
+  std::set<ProgressId> Records_; ///< Not written yet.
+  /// Ends whose changes are stored once all records are.
+  std::vector<PendingAck> Acks_;
+};
+
 /// A write that the store has not answered.
 struct PendingWrite {
   std::uint64_t Id_ = 0;
@@ -189,6 +205,8 @@
   std::vector<WorkerId> Roster_; ///< Workers in the roster that it writes.
   bool HasRoster_ = false;
   std::vector<JobId> Removed_; ///< Jobs whose records it removes.
+  /// Occurrences whose records it removes.
+  std::vector<ProgressId> RemovedOccurrences_;
 };
 
 /// Resources of a worker that only one step may use until a time.
@@ -211,7 +229,8 @@
   bool InheritancePending_ =
       false; ///< UnconfirmedWorkers_ has not been empty yet.
   std::set<StepId> WaitingSteps_;      ///< Ready steps with tasks to start.
-  std::set<JobId> DirtyJobs_;          ///< Jobs with progress to write.
+  std::set<ProgressId> DirtyProgress_; ///< Changed since the round began.
+  WriteRound Round_;
   std::set<TaskId> PendingOrders_;     ///< Tasks with a start or stop to send.
   std::vector<JobId> NewlyClosedJobs_; ///< Closed since the last tick.
   std::set<JobId> ExpiredJobs_; ///< Closed jobs to remove from the store.
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -33,8 +33,10 @@
 /// Opens the occurrences that are due.
 void openDueOccurrences(State &State, Job &J, TimePoint Now,
                         std::int64_t NowUnixMs);
-/// Has the progress of the job written to the store.
-void markDirty(State &State, Job &J);
+/// Has the record of the job itself written to the store.
+void markDirty(State &State, const Job &J);
+/// Has the progress of one occurrence written to the store.
+void markDirty(State &State, const Job &J, std::uint32_t Occurrence);
 /// Closes the job: no further task starts, and its runs are stopped. Does
 /// nothing if it is closed.
 void closeJob(State &State, Job &J, workflow::JobState NewState, TimePoint Now);
@@ -48,10 +50,15 @@
 /// Stops the remaining runs of a gang if some of its tasks have no run.
 void stopIncompleteGang(State &State, const StepId &Id);
 
-/// Progress of the job for the store.
+/// Whether there is anything to write to the store, or ends to acknowledge.
+bool hasUnwrittenChanges(const State &State);
+/// Record of the job itself for the store.
 workflow::Progress makeProgress(const Job &J);
-/// Restores stored progress into a new \p J.
-void loadProgress(State &State, Job &J, const workflow::Progress &Progress,
+/// Progress of an open occurrence for the store.
+workflow::OccurrenceProgress makeOccurrenceProgress(const Job &J,
+                                                    std::uint32_t Number);
+/// Restores the stored progress \p Row into a new \p J.
+void loadProgress(State &State, Job &J, const ledger::ReplicatedJob &Row,
                   TimePoint Now, std::int64_t NowUnixMs);
 
 /// Estimate of the worker's clock at \p Now.
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -85,9 +85,16 @@
 
 } // namespace
 
-void markDirty(State &State, Job &J) {
-  J.Dirty_ = true;
-  State.DirtyJobs_.insert(J.Id_);
+void markDirty(State &State, const Job &J) {
+  State.DirtyProgress_.insert({J.Id_, std::nullopt});
+}
+
+void markDirty(State &State, const Job &J, std::uint32_t Occurrence) {
+  if (workflow::isRepeated(J.Spec_))
+    State.DirtyProgress_.insert({J.Id_, Occurrence});
+  // An occurrence is stored only after the record of the job lists it as open.
+  if (!J.StoredOccurrences_.count(Occurrence))
+    markDirty(State, J);
 }
 
 void closeJob(State &State, Job &J, JobState NewState, TimePoint Now) {
@@ -99,6 +106,8 @@
   State.ScheduledJobs_.erase(J.Id_);
   count(State.Counters_, "job-" + std::string(workflow::toString(NewState)));
   markDirty(State, J);
+  for (std::uint32_t Number : J.StoredOccurrences_)
+    markDirty(State, J, Number);
   for (auto &[Number, O] : J.Open_)
     for (std::uint32_t StepIndex = 0; StepIndex < O.Steps_.size();
          ++StepIndex) {
@@ -120,8 +129,11 @@
       if (J.Open_.size() == 1 &&
           J.NextOccurrence_ >= workflow::occurrenceCount(J.Spec_))
         closeJob(State, J, JobState::Completed, Now);
-      else if (Idle)
+      else if (Idle) {
         J.Open_.erase(Number);
+        markDirty(State, J);
+        markDirty(State, J, Number);
+      }
     }
     return;
   }
@@ -166,34 +178,74 @@
   Out.DoneBefore_ = J.NextOccurrence_;
   if (workflow::isClosed(J.State_))
     return Out;
-  for (const auto &[Number, O] : J.Open_) {
-    workflow::OccurrenceProgress Stored;
-    Stored.Number_ = Number;
-    for (const Step &Step : O.Steps_)
-      Stored.Steps_.push_back(makeStepProgress(Step));
-    Out.Open_.push_back(std::move(Stored));
-  }
+  for (const auto &[Number, O] : J.Open_)
+    if (workflow::isRepeated(J.Spec_))
+      Out.Open_.push_back({Number, {}});
+    else
+      Out.Open_.push_back(makeOccurrenceProgress(J, Number));
   return Out;
 }
 
-void loadProgress(State &State, Job &J, const workflow::Progress &Progress,
+workflow::OccurrenceProgress makeOccurrenceProgress(const Job &J,
+                                                    std::uint32_t Number) {
+  workflow::OccurrenceProgress Out;
+  Out.Number_ = Number;
+  for (const Step &Step : J.Open_.at(Number).Steps_)
+    Out.Steps_.push_back(makeStepProgress(Step));
+  return Out;
+}
+
+namespace {
+
+/// Has the records of occurrences that are done removed: the former owner did
+/// not come to it.
+void markLeftOvers(State &State, const Job &J) {
+  for (std::uint32_t Number : J.StoredOccurrences_)
+    if (workflow::isClosed(J.State_) || !J.Open_.count(Number))
+      markDirty(State, J, Number);
+}
+
+/// Steps of an occurrence as stored in the record of the job, or else in that
+/// of the occurrence.
+std::vector<workflow::StepProgress>
+storedSteps(State &State, const ledger::ReplicatedJob &Row,
+            const workflow::OccurrenceProgress &Listed) {
+  auto Apart = Row.Occurrences_.find(Listed.Number_);
+  if (!Listed.Steps_.empty() || Apart == Row.Occurrences_.end())
+    return Listed.Steps_;
+  auto Parsed = ledger::parseOccurrence(Apart->second.Value_);
+  if (!Parsed) {
+    count(State.Counters_, "occurrence-unreadable");
+    return {};
+  }
+  return std::move(Parsed->Steps_);
+}
+
+} // namespace
+
+void loadProgress(State &State, Job &J, const ledger::ReplicatedJob &Row,
                   TimePoint Now, std::int64_t NowUnixMs) {
+  const workflow::Progress &Progress = Row.Progress_;
+  for (const auto &[Number, Stored] : Row.Occurrences_)
+    J.StoredOccurrences_.insert(Number);
   J.State_ = Progress.state();
   J.NextOccurrence_ = Progress.DoneBefore_;
   if (workflow::isClosed(J.State_)) {
     J.ClosedAt_ = Now;
+    markLeftOvers(State, J);
     return;
   }
   for (const workflow::OccurrenceProgress &Stored : Progress.Open_) {
     Occurrence O = makeOccurrence(J.Spec_, firstRunNumber(State, J));
     O.CameDueAt_ = cameDueAt(J, Stored.Number_, Now, NowUnixMs);
-    for (std::size_t I = 0; I < O.Steps_.size() && I < Stored.Steps_.size();
-         ++I) {
-      loadStepProgress(O.Steps_[I], Stored.Steps_[I]);
+    std::vector<workflow::StepProgress> Steps = storedSteps(State, Row, Stored);
+    for (std::size_t I = 0; I < O.Steps_.size() && I < Steps.size(); ++I) {
+      loadStepProgress(O.Steps_[I], Steps[I]);
       O.StepsDone_ += O.Steps_[I].DoneCount_ == O.Steps_[I].Tasks_.size();
     }
     J.Open_[Stored.Number_] = std::move(O);
   }
+  markLeftOvers(State, J);
   std::vector<std::uint32_t> Numbers;
   for (const auto &[Number, O] : J.Open_)
     Numbers.push_back(Number);
@@ -224,7 +276,7 @@
   double Chain = double(workflow::longestChain(J.Spec_).count());
   J.Objective_ = Milliseconds(std::int64_t(Chain * J.Queue_.Stretch_)) +
                  Milliseconds(J.Queue_.SlackMs_);
-  detail::loadProgress(State, J, Row.Progress_, Now, NowUnixMs);
+  detail::loadProgress(State, J, Row, Now, NowUnixMs);
   if (workflow::isClosed(J.State_))
     return;
   if (Row.Cancelled_) {
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -116,7 +116,7 @@
     Ended->Tasks_[I].Done_ = true;
     ++Ended->DoneCount_;
   }
-  markDirty(State, J);
+  markDirty(State, J, Id.Occurrence_);
   if (Ended->DoneCount_ < Ended->Tasks_.size())
     return;
   Ended->DoneAt_ = Now;
@@ -137,7 +137,7 @@
   Task &T = Step->Tasks_[Spec.Gang_ ? 0 : End.Task_.Index_];
   if (Spec.LongRunning_ || T.Done_ || !T.FailedRuns_.insert(End.Run_).second)
     return;
-  markDirty(State, J);
+  markDirty(State, J, Id.Occurrence_);
   if (T.FailedRuns_.size() >= J.Queue_.MaxAttempts_)
     closeJob(State, J, workflow::JobState::Failed, Now);
 }
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -89,9 +89,8 @@
   constexpr Milliseconds IdleInterval{100};
   if (State.PlacementNeeded_)
     return std::max(Now, State.NextPlacementAt_);
-  bool Busy =
-      !State.WaitingSteps_.empty() || !State.PendingOrders_.empty() ||
-      (!State.PendingWrite_ && (!State.DirtyJobs_.empty() || State.AcksDirty_));
+  bool Busy = !State.WaitingSteps_.empty() || !State.PendingOrders_.empty() ||
+              (!State.PendingWrite_ && detail::hasUnwrittenChanges(State));
   return Now + (Busy ? BusyInterval : IdleInterval);
 }
 
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -52,21 +52,101 @@
   return false;
 }
 
-/// Adds the progress of changed jobs, as much as fits into the write.
-void addProgress(State &State, WriteCall &Call) {
-  std::size_t Bytes = 0;
-  for (const ledger::KeyedRecord &R : Call.Records_)
-    Bytes += ledger::callBytes(R);
+/// Begins a round with all changes since the last one, so that a job which
+/// changes all the time delays no acknowledgement.
+void beginRound(State &State) {
+  State.Round_.Records_ = std::exchange(State.DirtyProgress_, {});
+  if (!State.AcksDirty_)
+    return;
+  State.AcksDirty_ = false;
+  State.Round_.Acks_ = collectAcks(State);
+}
+
+bool isDirty(const State &State, const JobId &Id) {
+  auto HasRecord = [&](const std::set<ProgressId> &Records) {
+    auto It = Records.lower_bound({Id, std::nullopt});
+    return It != Records.end() && It->Job_ == Id;
+  };
+  return HasRecord(State.DirtyProgress_) || HasRecord(State.Round_.Records_);
+}
+
+/// Fails a job whose record the store would refuse at every repetition: the
+/// progress of all other jobs of the slice would wait behind it for ever.
+void failUnstorable(State &State, Job &J, std::size_t Bytes, TimePoint Now,
+                    Outbox &Out) {
+  count(State.Counters_, "progress-too-large");
+  Out.Notes_.push_back(
+      {"progress-too-large", {{"job", J.Id_}, {"bytes", Bytes}}});
+  closeJob(State, J, workflow::JobState::Failed, Now);
+  // Its ends are not stored by this round.
+  State.Round_.Acks_.clear();
+  State.AcksDirty_ = true;
+}
+
+/// Adds the record of one open occurrence, or fails its job.
+void addOccurrence(State &State, Job &J, std::uint32_t Number, TimePoint Now,
+                   WriteCall &Call, Outbox &Out) {
+  ledger::KeyedRecord R =
+      ledger::makeOccurrence(J.Id_, makeOccurrenceProgress(J, Number));
+  std::size_t Bytes = ledger::recordBytes(R);
+  if (Bytes > State.Options_.StoreLimits_.RecordBytes_)
+    return failUnstorable(State, J, Bytes, Now, Out);
+  J.StoredOccurrences_.insert(Number);
+  Call.Records_.push_back(std::move(R));
+}
+
+/// Adds the record of the job itself, or fails the job.
+void addJobProgress(State &State, Job &J, TimePoint Now, WriteCall &Call,
+                    Outbox &Out) {
+  ledger::KeyedRecord R = ledger::makeProgress(J.Id_, makeProgress(J));
+  std::size_t Bytes = ledger::recordBytes(R);
+  if (Bytes > State.Options_.StoreLimits_.RecordBytes_)
+    return failUnstorable(State, J, Bytes, Now, Out);
+  Call.Records_.push_back(std::move(R));
+}
+
+/// Adds the removal of an occurrence that is done. Without its record it would
+/// count as not begun, so the job must stop listing it at the latest now.
+void addOccurrenceRemoval(State &State, Job &J, std::uint32_t Number,
+                          TimePoint Now, PendingWrite &Pending, WriteCall &Call,
+                          Outbox &Out) {
+  if (!J.StoredOccurrences_.count(Number))
+    return;
+  if (State.DirtyProgress_.erase({J.Id_, std::nullopt}))
+    addJobProgress(State, J, Now, Call, Out);
+  Call.Records_.push_back(ledger::makeOccurrenceRemoval(J.Id_, Number));
+  Pending.RemovedOccurrences_.push_back({J.Id_, Number});
+}
+
+void addRecord(State &State, const ProgressId &Id, TimePoint Now,
+               PendingWrite &Pending, WriteCall &Call, Outbox &Out) {
+  Job *J = findJob(State, Id.Job_);
+  if (!J)
+    return;
+  if (!Id.Occurrence_)
+    return addJobProgress(State, *J, Now, Call, Out);
+  bool Open = !workflow::isClosed(J->State_) && J->Open_.count(*Id.Occurrence_);
+  if (Open)
+    addOccurrence(State, *J, *Id.Occurrence_, Now, Call, Out);
+  else
+    addOccurrenceRemoval(State, *J, *Id.Occurrence_, Now, Pending, Call, Out);
+}
+
+/// Adds records of the round, as many as fit into the write.
+void addProgress(State &State, TimePoint Now, PendingWrite &Pending,
+                 WriteCall &Call, Outbox &Out) {
+  std::size_t Bytes = 0, Counted = 0;
   std::size_t Full = fullWriteBytes(State.Options_.StoreLimits_);
-  while (!State.DirtyJobs_.empty() &&
-         Call.Records_.size() < MaxRecordsPerWrite &&
-         (Bytes < Full || Call.Records_.empty())) {
-    JobId Id = *State.DirtyJobs_.begin();
-    State.DirtyJobs_.erase(State.DirtyJobs_.begin());
-    Job &J = State.Jobs_.at(Id);
-    J.Dirty_ = false;
-    Call.Records_.push_back(ledger::makeProgress(Id, makeProgress(J)));
-    Bytes += ledger::callBytes(Call.Records_.back());
+  std::set<ProgressId> &Records = State.Round_.Records_;
+  while (true) {
+    for (; Counted < Call.Records_.size(); ++Counted)
+      Bytes += ledger::callBytes(Call.Records_[Counted]);
+    bool HasRoom = Call.Records_.size() < MaxRecordsPerWrite && Bytes < Full;
+    if (Records.empty() || !(HasRoom || Call.Records_.empty()))
+      return;
+    ProgressId Id = *Records.begin();
+    Records.erase(Records.begin());
+    addRecord(State, Id, Now, Pending, Call, Out);
   }
 }
 
@@ -77,7 +157,8 @@
     return;
   State.NextExpiryCheckAt_ = Now + Interval;
   for (const auto &[Id, J] : State.Jobs_)
-    if (workflow::isClosed(J.State_) && !J.Dirty_ && !hasRuns(J) &&
+    if (workflow::isClosed(J.State_) && !isDirty(State, Id) &&
+        J.StoredOccurrences_.empty() && !hasRuns(J) &&
         Now - J.ClosedAt_ > State.Options_.KeepClosed_)
       State.ExpiredJobs_.insert(Id);
 }
@@ -106,6 +187,11 @@
 
 } // namespace
 
+bool hasUnwrittenChanges(const State &State) {
+  return !State.DirtyProgress_.empty() || !State.Round_.Records_.empty() ||
+         State.AcksDirty_;
+}
+
 void planWrites(State &State, TimePoint Now, Outbox &Out) {
   if (State.PendingWrite_ || Now < State.NextWriteAt_)
     return;
@@ -119,14 +205,14 @@
         Pending.Roster_.push_back(Id);
     Pending.HasRoster_ = true;
   }
-  addProgress(State, Call);
+  if (State.Round_.Records_.empty())
+    beginRound(State);
+  addProgress(State, Now, Pending, Call, Out);
   findExpiredJobs(State, Now);
   addRemovals(State, Pending, Call);
   // Ends count as stored once all progress that they changed is stored.
-  if (State.AcksDirty_ && State.DirtyJobs_.empty()) {
-    State.AcksDirty_ = false;
-    Pending.Acks_ = collectAcks(State);
-  }
+  if (State.Round_.Records_.empty())
+    Pending.Acks_ = std::exchange(State.Round_.Acks_, {});
   if (Call.Records_.empty()) {
     for (const PendingAck &Ack : Pending.Acks_)
       acknowledge(State, Ack, Now);
@@ -137,6 +223,34 @@
   Out.Writes_.push_back(std::move(Call));
 }
 
+namespace {
+
+/// Has everything written again, with the state at that time.
+void markAllDirty(State &State, TimePoint Now) {
+  constexpr Milliseconds ClosedRecently{60'000};
+  State.DirtyProgress_.merge(State.Round_.Records_);
+  State.Round_ = {};
+  State.AcksDirty_ = true;
+  for (auto &[Id, J] : State.Jobs_) {
+    if (workflow::isClosed(J.State_) && J.ClosedAt_ + ClosedRecently <= Now)
+      continue;
+    markDirty(State, J);
+    for (std::uint32_t Number : J.StoredOccurrences_)
+      markDirty(State, J, Number);
+  }
+}
+
+/// Forgets the records that a write has removed.
+void forgetRemoved(State &State, const PendingWrite &Stored) {
+  for (const JobId &Job : Stored.Removed_)
+    State.Jobs_.erase(Job);
+  for (const ProgressId &Id : Stored.RemovedOccurrences_)
+    if (Job *J = findJob(State, Id.Job_))
+      J->StoredOccurrences_.erase(*Id.Occurrence_);
+}
+
+} // namespace
+
 } // namespace detail
 
 void onWriteReply(State &State, std::uint64_t Id, bool Stored, TimePoint Now) {
@@ -145,20 +259,14 @@
   PendingWrite Pending = std::move(*State.PendingWrite_);
   State.PendingWrite_.reset();
   if (!Stored) {
-    // Write all of it again, with the state at that time.
     count(State.Counters_, "write-refused");
     State.NextWriteAt_ = Now + detail::WriteRetryInterval;
     State.RosterDirty_ = State.RosterDirty_ || Pending.HasRoster_;
-    State.AcksDirty_ = true;
-    for (auto &[JobName, J] : State.Jobs_)
-      if (!workflow::isClosed(J.State_) ||
-          J.ClosedAt_ + Milliseconds(60'000) > Now)
-        detail::markDirty(State, J);
+    detail::markAllDirty(State, Now);
     return;
   }
   State.NextWriteAt_ = Now + detail::WriteInterval;
-  for (const JobId &Job : Pending.Removed_)
-    State.Jobs_.erase(Job);
+  detail::forgetRemoved(State, Pending);
   for (const WorkerId &W : Pending.Roster_) {
     auto It = State.Workers_.find(W);
     if (It == State.Workers_.end() || It->second.Rostered_ ||
--- a/packages/workflow/detail/progress.hpp
+++ b/packages/workflow/detail/progress.hpp
@@ -38,8 +38,10 @@
 };
 
 struct Progress {
-  int State_ = 0;                        ///< A JobState.
-  std::vector<OccurrenceProgress> Open_; ///< Occurrences in progress.
+  int State_ = 0; ///< A JobState.
+  /// Occurrences in progress. Those of a repeated job have no steps here: they
+  /// may overlap without limit, so each one is stored in a record of its own.
+  std::vector<OccurrenceProgress> Open_;
   /// Occurrences below this number are done, except those in Open_.
   std::uint32_t DoneBefore_ = 0;
   MSGPACK_DEFINE(State_, Open_, DoneBefore_)
--- a/packages/workflow/detail/spec.hpp
+++ b/packages/workflow/detail/spec.hpp
@@ -66,6 +66,8 @@
 /// Stored progress of a task with 4 recorded failures.
 inline constexpr std::size_t MaxProgressBytesPerTask = 26;
 inline constexpr std::uint32_t MaxRepeats = 10'000;
+/// Stored number of an occurrence in progress.
+inline constexpr std::size_t MaxBytesPerOpenOccurrence = 7;
 
 /// Returns true, or BadSpec with the position and value of the first invalid
 /// field.
@@ -76,6 +78,8 @@
 Resources chargedSize(const StepSpec &Step);
 /// Number of tasks of one occurrence.
 std::size_t taskCount(const WorkflowSpec &Spec);
+/// Whether the job has a schedule, so that it may have several occurrences.
+inline bool isRepeated(const WorkflowSpec &Spec) { return Spec.Repeats_ > 0; }
 /// Number of occurrences of the job, at least 1.
 std::uint32_t occurrenceCount(const WorkflowSpec &Spec);
 /// Declared run time of the longest chain of dependent steps.
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -412,6 +412,8 @@
       return;
     }
     for (ledger::KeyedRecord R : C.Records_) {
+      if (ledger::recordBytes(R) > O.State_.Options_.StoreLimits_.RecordBytes_)
+        broken("a record that the store refuses " + R.Key_);
       R.Offset_ = Store_.size();
       Store_.push_back(std::move(R));
     }
@@ -424,26 +426,24 @@
   });
 }
 
-workflow::JobState FleetCell::state(const JobId &Job) const {
+ledger::Replica FleetCell::stored() const {
   ledger::Replica Copy;
   for (const ledger::KeyedRecord &R : Store_)
     ledger::apply(Copy, R);
+  return Copy;
+}
+
+workflow::JobState FleetCell::state(const JobId &Job) const {
+  ledger::Replica Copy = stored();
   auto It = Copy.Jobs_.find(Job);
   return It == Copy.Jobs_.end() ? workflow::JobState::Queued
                                 : ledger::effectiveState(It->second);
 }
 
-std::size_t FleetCell::jobs() const {
-  ledger::Replica Copy;
-  for (const ledger::KeyedRecord &R : Store_)
-    ledger::apply(Copy, R);
-  return Copy.Jobs_.size();
-}
+std::size_t FleetCell::jobs() const { return stored().Jobs_.size(); }
 
 bool FleetCell::allClosed() const {
-  ledger::Replica Copy;
-  for (const ledger::KeyedRecord &R : Store_)
-    ledger::apply(Copy, R);
+  ledger::Replica Copy = stored();
   return std::all_of(Copy.Jobs_.begin(), Copy.Jobs_.end(), [](const auto &J) {
     return workflow::isClosed(ledger::effectiveState(J.second));
   });
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -100,6 +100,8 @@
 
   workflow::JobState state(const JobId &Job) const;
   bool allClosed() const;
+  /// The jobs as stored.
+  ledger::Replica stored() const;
   /// Number of jobs in the store.
   std::size_t jobs() const;
   Owner &owner() { return *Owners_.back(); }
--- a/tests/fleet/fleet_checks.cpp
+++ b/tests/fleet/fleet_checks.cpp
@@ -39,16 +39,17 @@
     broken("started after a worker reported it as done " + Name);
   if (whereIs(C.Task_).size() > 1)
     broken("twice at once " + Name);
-  ledger::Replica Now;
-  for (const ledger::KeyedRecord &R : Store_)
-    ledger::apply(Now, R);
+  ledger::Replica Now = stored();
   const ledger::ReplicatedJob &Row = Now.Jobs_.at(C.Task_.Step_.Job_);
   auto Cancelled = CancelledAt_.find(C.Task_.Step_.Job_);
   if (Cancelled != CancelledAt_.end() &&
       Now_ - Cancelled->second > CancelBound &&
       contactOf(C.Target_.Token_) > Cancelled->second)
     broken("started after cancel " + Name);
-  for (const auto &O : Row.Progress_.Open_) {
+  for (workflow::OccurrenceProgress O : Row.Progress_.Open_) {
+    auto Apart = Row.Occurrences_.find(O.Number_);
+    if (O.Steps_.empty() && Apart != Row.Occurrences_.end())
+      O = *ledger::parseOccurrence(Apart->second.Value_);
     if (O.Number_ != C.Task_.Step_.Occurrence_ ||
         C.Task_.Step_.Step_ >= O.Steps_.size())
       continue;
--- a/tests/fleet/run-fleet-schedules.cpp
+++ b/tests/fleet/run-fleet-schedules.cpp
@@ -14,6 +14,8 @@
 
 constexpr int Workers = 6;
 constexpr int Jobs = 25;
+/// Occurrences of a repeated job.
+constexpr std::uint32_t Repeats = 4;
 /// Failures are injected for this time.
 constexpr Milliseconds FailurePhase{30'000};
 /// All jobs must be closed within this time after the last failure.
@@ -128,8 +130,12 @@
   TimePoint End = C.Now_ + FailurePhase;
   for (int Job = 0; C.Now_ < End;) {
     C.run(Milliseconds(C.Random_.below(1'200)));
-    if (Job < Jobs)
-      C.submit("j" + std::to_string(Job++), randomJob(C.Random_));
+    if (Job < Jobs) {
+      workflow::WorkflowSpec Spec = randomJob(C.Random_);
+      if (Seed % 3 == 0 && Job % 2 == 0)
+        Spec.Repeats_ = Repeats;
+      C.submit("j" + std::to_string(Job++), std::move(Spec));
+    }
     if (Job > 3 && C.Random_.below(8) == 0)
       C.cancel("j" + std::to_string(C.Random_.below(std::uint64_t(Job))));
     if (C.Random_.below(3) == 0)
--- a/tests/formats/unit-records.cpp
+++ b/tests/formats/unit-records.cpp
@@ -43,6 +43,9 @@
              makeProgress("j1", {int(workflow::JobState::Running),
                                  {{7, {{{true, false}, {{1, {2, 5}}}}}}},
                                  6})),
+      sample("occurrence",
+             makeOccurrence("j1", {7, {{{true, false}, {{1, {2, 5}}}}}})),
+      sample("occurrence removal", makeOccurrenceRemoval("j1", 7)),
       sample("roster", makeRoster("s", {{"w1", "w2"}, 9, true})),
       sample("fence", makeFence("s", 300)),
   };
