Ownership: a late heartbeat of an earlier process changes nothing

Found by reading, on the list of paths on which a late unconditional write replaces a newer one. Heartbeats are appended without a condition; the last one of a process may be stored after the first of the VM's next process. It replaced the newer address and process in memory, and the dead holder of a slice counted as heard of. Now the start offset decides, which only grows from process to process of a VM.

The record itself still replaces the newer one in the store until the next heartbeat, 5 s later at most; a load in between knows a former process, which claims.cpp takes as no proof of an end.

Test: claims/a_late_heartbeat_does_not_replace_that_of_a_later_process fails without the change.

--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -35,6 +35,14 @@
     Claims.OwnSlices_.erase(Own);
 }
 
+void onHeartbeat(State &Claims, const std::string &Name, const NodeRecord &R,
+                 TimePoint Now) {
+  NodeView &View = Claims.Nodes_[Name];
+  // The store may execute a heartbeat of an earlier process late.
+  if (R.StartOffset_ >= View.StartOffset_)
+    View = NodeView{R.Address_, R.Node_, R.StartOffset_, R.Cpu_, Now};
+}
+
 /// Time since the last sign of life of the holder of \p View. Time without
 /// contact to the store does not count.
 Milliseconds holderSilence(const State &Claims, const SliceView &View) {
@@ -214,8 +222,7 @@
   } else if (kindOf(R.Key_) == RecordKind::Node) {
     auto Node = parseNode(R.Value_);
     if (Node)
-      Claims.Nodes_[Name] = NodeView{Node->Address_, Node->Node_,
-                                     Node->StartOffset_, Node->Cpu_, Now};
+      onHeartbeat(Claims, Name, *Node, Now);
     Claims.UnreadableRecords_ += !Node;
   }
 }
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -492,3 +492,19 @@
     cr_assert_neq(C.Log_[I].Key_, "ss");
   cr_assert(C.Entries_[First].Releases_.empty());
 }
+
+// Guards against messages to an ended process, and against a dead holder that
+// counts as alive: the store executes the last heartbeat of a process after the
+// first one of the next process of its VM.
+Test(claims, a_late_heartbeat_does_not_replace_that_of_a_later_process) {
+  Cell C(1);
+  State &S = C.Entries_[0];
+  onRecord(S, makeNode("n7", {"n7.2", "n7:2", 9}), C.Now_);
+  TimePoint SeenAt = C.Now_;
+  C.Now_ += Milliseconds(1'000);
+  onRecord(S, makeNode("n7", {"n7.1", "n7:1", 3}), C.Now_);
+  cr_assert_eq(S.Nodes_.at("n7").Node_, "n7.2");
+  cr_assert(S.Nodes_.at("n7").SeenAt_ == SeenAt);
+  onRecord(S, makeNode("n7", {"n7.2", "n7:2", 9}), C.Now_);
+  cr_assert(S.Nodes_.at("n7").SeenAt_ == C.Now_);
+}
