Owner: a drained worker stays in the roster until its ends are stored

Found by reading, on the list of paths on which an incomplete answer is taken for a whole one. A drained worker without tasks leaves the roster, so that no later owner waits for it. The roster is written before the progress; when that didn't fit into the same append and the owner died in between, the next owner neither knew the last ends nor waited for the worker that could list them, and would have started the tasks again (TWICE).

Test: takeover/a_drained_worker_stays_in_the_roster_until_its_ends_are_stored fails without the change.

--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -134,9 +134,11 @@
 
 namespace {
 
-/// Updates Worker::Released_.
+/// Updates Worker::Released_. A later owner learns of ends that are not stored
+/// from the worker only, so it must wait for that worker.
 void releaseEmpty(State &State, Worker &W) {
-  bool Empty = W.Tasks_.empty() && W.UnclaimedSize_ == Resources{};
+  bool Empty = W.Tasks_.empty() && W.UnclaimedSize_ == Resources{} &&
+               W.SeenEnd_ == W.StoredEnd_;
   bool Release = W.Info_.Draining_ && W.RunsKnown_ && Empty &&
                  !State.UnconfirmedWorkers_.count(W.Info_.Id_);
   if (Release == W.Released_)
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -170,3 +170,20 @@
   C.run(Milliseconds(20'000));
   cr_assert_not(C.owner().State_.InheritancePending_);
 }
+
+// Guards against TWICE: a roster without a drained worker is stored before the
+// ends that it has listed, and the owner dies between the two writes.
+Test(takeover, a_drained_worker_stays_in_the_roster_until_its_ends_are_stored) {
+  FleetCell C({"a", "b"});
+  C.beginBusy(4, Milliseconds(400), Milliseconds(200));
+  C.StoreDown_ = true;
+  C.run(Milliseconds(600));
+  C.drain("a");
+  C.run(Milliseconds(300));
+  const scheduler::Worker &W = C.owner().State_.Workers_.at("a");
+  cr_assert_gt(W.SeenEnd_, W.StoredEnd_);
+  cr_assert_not(W.Released_);
+  C.StoreDown_ = false;
+  C.run(Milliseconds(1'000));
+  cr_assert(W.Released_);
+}
