Jobs stay with the service that accepted them when their queue moves

Cause: a job lies in the partition, and the slice, of the service that its queue had at acceptance. Callers' questions and cancellations looked in the partition of the queue's present service only, and an owner replaced the whole queue of a job by the one of that name in the newest configuration, service included, so that no worker of its slice could host it.

Change: a job is looked for in the partition of its queue's present service first, then among jobs of the same queue in the others; the same for a job that is handed in again, which else would have become two. Owners take over all settings of the queue but its service. `pending` counts the queue's jobs in all partitions.

Not covered: the entries' copies of a partition all of whose services are gone from the configuration when an entry starts.

--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -53,6 +53,27 @@
   return Row == It->second.Replica_.Jobs_.end() ? nullptr : &Row->second;
 }
 
+/// A job and the partition that holds it.
+struct StoredJob {
+  std::uint32_t Partition_ = 0;
+  const ledger::ReplicatedJob *Row_ = nullptr; ///< Null if there is none.
+};
+
+/// The job in the partition of its queue's service, or else in that of the
+/// service to which the queue belonged when the job was accepted.
+StoredJob findJobOfQueue(const Intake &State, const workflow::Queue &Q,
+                         const JobId &Job) {
+  std::uint32_t Today = partitionOf(Q.Service_, State.TopicPartitions_);
+  if (const ledger::ReplicatedJob *Row = findJob(State, Today, Job))
+    return {Today, Row};
+  for (const auto &[Number, Copy] : State.Partitions_) {
+    const ledger::ReplicatedJob *Row = findJob(State, Number, Job);
+    if (Row && Row->Accepted_.Queue_.Name_ == Q.Name_)
+      return {Number, Row};
+  }
+  return {Today, nullptr};
+}
+
 void answer(Intake &State, const std::shared_ptr<PendingWrite> &Write,
             Answer A) {
   if (Write->Answered_)
@@ -255,8 +276,8 @@
 
 void submit(Intake &State, const workflow::Queue &Q, const JobId &Job,
             workflow::WorkflowSpec Spec, const CallTimes &T, Reply Done) {
-  std::uint32_t Partition = partitionOf(Q.Service_, State.TopicPartitions_);
-  if (findJob(State, Partition, Job)) {
+  StoredJob Known = findJobOfQueue(State, Q, Job);
+  if (Known.Row_) {
     count(State.Counters_, "submit-known");
     Done({Outcome::Stored});
     return;
@@ -277,35 +298,38 @@
     return;
   }
   count(State.Counters_, "submit");
-  addWrite(State, Partition, Job, false, std::move(Record), T, std::move(Done));
+  addWrite(State, Known.Partition_, Job, false, std::move(Record), T,
+           std::move(Done));
 }
 
 void queryState(Intake &State, const workflow::Queue &Q, const JobId &Job,
                 const CallTimes &T, Reply Done) {
-  std::uint32_t Partition = partitionOf(Q.Service_, State.TopicPartitions_);
-  if (const ledger::ReplicatedJob *Row = findJob(State, Partition, Job)) {
-    Done({Outcome::State, ledger::effectiveState(*Row)});
+  StoredJob Known = findJobOfQueue(State, Q, Job);
+  if (Known.Row_) {
+    Done({Outcome::State, ledger::effectiveState(*Known.Row_)});
     return;
   }
-  waitForCopy(State, Partition, Job, false, T, std::move(Done));
+  waitForCopy(State, Known.Partition_, Job, false, T, std::move(Done));
 }
 
 void cancel(Intake &State, const workflow::Queue &Q, const JobId &Job,
             const CallTimes &T, Reply Done) {
-  std::uint32_t Partition = partitionOf(Q.Service_, State.TopicPartitions_);
-  if (const ledger::ReplicatedJob *Row = findJob(State, Partition, Job)) {
-    storeCancellation(State, Partition, Job, *Row, T, std::move(Done));
+  StoredJob Known = findJobOfQueue(State, Q, Job);
+  if (Known.Row_) {
+    storeCancellation(State, Known.Partition_, Job, *Known.Row_, T,
+                      std::move(Done));
     return;
   }
-  waitForCopy(State, Partition, Job, true, T, std::move(Done));
+  waitForCopy(State, Known.Partition_, Job, true, T, std::move(Done));
 }
 
 std::size_t countPendingJobs(const Intake &State, const workflow::Queue &Q) {
-  auto It =
-      State.Partitions_.find(partitionOf(Q.Service_, State.TopicPartitions_));
-  return It == State.Partitions_.end()
-             ? 0
-             : ledger::pendingJobs(It->second.Replica_, Q.Name_);
+  // Jobs stay in the partition of the service that had the queue when they were
+  // accepted.
+  std::size_t Count = 0;
+  for (const auto &[Number, Copy] : State.Partitions_)
+    Count += ledger::pendingJobs(Copy.Replica_, Q.Name_);
+  return Count;
 }
 
 void onCopyUpdated(Intake &State, std::uint32_t Partition, TimePoint Now) {
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -258,3 +258,43 @@
   intake::submit(F.Intake_, F.Queue_, "j2", Spec, F.times(), F.reply());
   cr_assert(F.Answers_.at(0).Error_.Kind_ == ErrorKind::BadSpec);
 }
+
+// Guards against LOST: a queue was removed and came back with another service,
+// and jobs accepted before were looked for in the partition of the new one
+// only.
+Test(intake, a_job_is_found_after_its_queue_has_moved_to_another_service) {
+  Fixture F;
+  F.Intake_.TopicPartitions_ = 32;
+  F.Queue_.Service_ = "alpha";
+  F.Partition_ = partitionOf("alpha", 32);
+  F.read({F.record()});
+  std::uint32_t Former = F.Partition_;
+  F.Queue_.Service_ = "beta";
+  F.Partition_ = partitionOf("beta", 32);
+  cr_assert_neq(F.Partition_, Former);
+  F.read();
+  cr_assert_eq(countPendingJobs(F.Intake_, F.Queue_), 1u);
+  queryState(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  cr_assert_eq(F.Answers_.size(), 1u);
+  cr_assert(F.Answers_[0].Outcome_ == Outcome::State);
+  F.submit();
+  cr_assert(F.Answers_.at(1).Outcome_ == Outcome::Stored);
+  cr_assert(F.Store_.Appends_.empty(), "it remains one job");
+  cancel(F.Intake_, F.Queue_, "j1", F.times(), F.reply());
+  cr_assert_eq(F.Store_.Appends_.at(0).Partition_.Number_, Former);
+}
+
+// Another queue may have a job of the same id.
+Test(intake, a_job_of_another_queue_is_not_taken_for_one_of_this) {
+  Fixture F;
+  F.Intake_.TopicPartitions_ = 32;
+  F.Queue_.Service_ = "alpha";
+  F.Partition_ = partitionOf("alpha", 32);
+  F.read({F.record()});
+  F.Queue_ = {"other", "", "", "beta"};
+  F.Partition_ = partitionOf("beta", 32);
+  F.read();
+  F.submit();
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  cr_assert_eq(countPendingJobs(F.Intake_, F.Queue_), 0u);
+}
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -33,6 +33,9 @@
 /// Opens the occurrences that are due.
 void openDueOccurrences(State &State, Job &J, TimePoint Now,
                         std::int64_t NowUnixMs);
+/// Applies the catalog's present settings of the job's queue, but for its
+/// service.
+void updateQueue(const workflow::Catalog &C, Job &J);
 /// Has the record of the job itself written to the store.
 void markDirty(State &State, const Job &J);
 /// Has the progress of one occurrence written to the store.
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -85,6 +85,16 @@
 
 } // namespace
 
+void updateQueue(const workflow::Catalog &C, Job &J) {
+  const workflow::Queue *Q = workflow::findQueue(C, J.Queue_.Name_);
+  if (!Q)
+    return;
+  // The job stays with the service at whose slice it was accepted.
+  ServiceName Service = std::move(J.Queue_.Service_);
+  J.Queue_ = *Q;
+  J.Queue_.Service_ = std::move(Service);
+}
+
 void markDirty(State &State, const Job &J) {
   State.DirtyProgress_.insert({J.Id_, std::nullopt});
 }
@@ -266,9 +276,7 @@
   J.Id_ = Id;
   J.Spec_ = Row.Accepted_.Spec_;
   J.Queue_ = Row.Accepted_.Queue_;
-  if (const workflow::Queue *Q =
-          workflow::findQueue(State.Catalog_, J.Queue_.Name_))
-    J.Queue_ = *Q;
+  detail::updateQueue(State.Catalog_, J);
   J.Inherited_ = Inherited;
   J.AcceptedAt_ = Now;
   if (Inherited)
@@ -294,8 +302,7 @@
 void onCatalog(State &State, const workflow::Catalog &C) {
   State.Catalog_ = C;
   for (auto &[Id, J] : State.Jobs_)
-    if (const workflow::Queue *Q = workflow::findQueue(C, J.Queue_.Name_))
-      J.Queue_ = *Q;
+    detail::updateQueue(C, J);
   State.PlacementNeeded_ = true;
 }
 
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -187,3 +187,23 @@
   C.run(Milliseconds(1'000));
   cr_assert(W.Released_);
 }
+
+// Guards against LOST: a queue comes back with another service, and its jobs,
+// which stay at their slice, find no worker there any more.
+Test(takeover, jobs_stay_with_the_service_that_accepted_them) {
+  FleetCell C({"a"});
+  C.takeOver();
+  workflow::StepSpec Last = plainStep(2);
+  Last.DependsOn_ = {0};
+  C.submit("j1", plainJob({plainStep(2), Last}));
+  C.run(Milliseconds(100));
+  C.Catalog_.Queues_[0].Service_ = "other";
+  scheduler::onCatalog(C.owner().State_, C.Catalog_);
+  cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
+  C.Catalog_.Queues_[0].Service_ = "s";
+  C.submit("j2", plainJob({plainStep(2), Last}));
+  C.Catalog_.Queues_[0].Service_ = "other";
+  C.killOwner();
+  C.takeOver(ownership::Predecessor::None);
+  cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
+}
