--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -30,6 +30,10 @@
 /// job, when all steps are done.
 void markReadySteps(State &State, Job &J, std::uint32_t Occurrence,
                     TimePoint Now);
+/// An occurrence of the job of which nothing is done.
+Occurrence beginOccurrence(const State &State, const Job &J,
+                           std::uint32_t Number, TimePoint Now,
+                           std::int64_t NowUnixMs);
 /// Opens the occurrences that are due.
 void openDueOccurrences(State &State, Job &J, TimePoint Now,
                         std::int64_t NowUnixMs);
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -1,44 +1,19 @@
 #include "scheduler/detail/tasks.hpp"
-#include "scheduler/detail/trace.hpp"
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
 
 namespace pollenvale::scheduler {
 
-using detail::findJob;
-using detail::findTask;
-
 namespace detail {
 
 namespace {
 
-/// Interval of renewals of a worker without tasks. Keeps its lease valid and
-/// its clock known.
-constexpr Milliseconds IdleRenewInterval{1'500};
-/// How long a worker with tasks may delay the reply to a renewal until a run
-/// ends: in a small slice, and at most. Two unanswered renewals in a row still
-/// leave time to renew the lease.
-constexpr Milliseconds MinRenewWait{500};
-constexpr Milliseconds MaxRenewWait{1'200};
-/// Added up over the workers of a large slice, so that renewals of workers on
-/// which nothing ends do not grow with it.
-constexpr std::chrono::microseconds RenewWaitPerWorker{1'500};
-/// The same while answers get lost: each lost reply hides ends for that long.
-constexpr Milliseconds LossyRenewWait{120};
 /// How long answers count as getting lost after the last loss.
 constexpr Milliseconds LossyDuration{4'000};
 /// Timeout of calls while answers get lost. May be short, as every call can be
 /// repeated.
 constexpr Milliseconds LossyTimeout{130};
-/// Pause between the reply to a renewal and the next renewal of a worker with
-/// tasks.
-constexpr Milliseconds RenewSpacing{10};
-/// Pause between a failed renewal and the next one.
-constexpr Milliseconds RenewRetryInterval{200};
-/// How long a renewal is delayed for ends to be stored, so that it acknowledges
-/// them.
-constexpr Milliseconds AckWait{250};
 /// Relative error by which a worker's clock may be slow, which prolongs leases.
 constexpr double ClockDrift = 0.02;
 /// Added to the duration of each lease.
@@ -95,43 +70,6 @@
   W.LeaseEndsAt_ = std::max(W.LeaseEndsAt_, Now + LongestOnClock + LeaseMargin);
 }
 
-/// How long the reply to a renewal of \p W may be delayed until a run ends.
-Milliseconds renewWait(const State &State, const Worker &W, TimePoint Now) {
-  if (Now < State.LossyUntil_)
-    return LossyRenewWait;
-  // Its latency is controlled by what renewals report.
-  if (W.HasTailTarget_)
-    return MinRenewWait;
-  auto ForSlice = std::chrono::duration_cast<Milliseconds>(
-      RenewWaitPerWorker * std::int64_t(State.Workers_.size()));
-  return std::clamp(ForSlice, MinRenewWait, MaxRenewWait);
-}
-
-void planRenewals(State &State, TimePoint Now, Outbox &Out) {
-  for (auto &[Id, W] : State.Workers_) {
-    if (W.RenewInFlight_ || Now < W.RenewDueAt_ ||
-        !(W.Rostered_ || W.Released_))
-      continue;
-    RenewCall Call{makeTarget(State, W), W.StoredEnd_};
-    // A worker that does not answer may be gone. Its tasks start elsewhere once
-    // its leases have expired, so no further lease is granted. Nor is one if it
-    // has restarted: its new clock is not known yet.
-    if (W.RunsKnown_ && W.Misses_ == 0 && W.Rostered_ && isClockCurrent(W)) {
-      Milliseconds Lease = State.StoreUnreachable_ ? State.Options_.OutageLease_
-                                                   : State.Options_.Lease_;
-      Call.LeaseUntil_ = workerClock(W, Now) + Lease;
-      extendLease(State, W, Lease, Now);
-      if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
-        Call.Wait_ = renewWait(State, W, Now);
-    } else if (W.Misses_ > 0)
-      Call.Target_.Timeout_ = retryTimeout(State, W, Now);
-    Call.Target_.Timeout_ += Call.Wait_;
-    traceAck(W, Now, Out);
-    W.RenewInFlight_ = true;
-    Out.Renewals_.push_back(std::move(Call));
-  }
-}
-
 namespace {
 
 /// Updates Worker::Released_. A later owner learns of ends that are not stored
@@ -193,170 +131,6 @@
         stopIncompleteGang(State, {Id, Number, StepIndex});
 }
 
-namespace {
-
-/// Limit of ends in one list. A worker with more ends lists them next time.
-constexpr std::size_t MaxEndsListed = 500;
-
-/// Whether the list contains every run and every end. One that does not proves
-/// nothing about a task that it lacks: an omitted or unreadable row may be its
-/// run or its end.
-bool isComplete(const RenewReply &Reply) {
-  return Reply.UnreadableRuns_ == 0 && Reply.UnreadableEnds_ == 0 &&
-         Reply.Ended_.size() < MaxEndsListed;
-}
-
-/// Records that no unknown inherited tasks run on the worker or have ended
-/// there.
-void confirmWorker(State &State, const WorkerId &Id) {
-  State.UnconfirmedWorkers_.erase(Id);
-}
-
-/// Confirms the worker if its list tells what became of every inherited task.
-/// Omitted ends are listed once those before them have been acknowledged. Rows
-/// that can't be read may never become readable: they delay inherited tasks
-/// only as long as a silent worker does.
-void confirmByList(State &State, const WorkerId &Id, const RenewReply &Reply,
-                   TimePoint Now) {
-  bool Omitted = Reply.Ended_.size() >= MaxEndsListed;
-  bool WaitedLongEnough = Now >= State.Options_.InheritedLeasesEndAt_;
-  if (isComplete(Reply) || (!Omitted && WaitedLongEnough))
-    confirmWorker(State, Id);
-}
-
-/// Attaches a run that an earlier owner started.
-void adoptRun(State &State, Worker &W, const RunningTask &R, TimePoint Now) {
-  const workflow::StepSpec *Spec = findSpec(State, R.Task_.Step_);
-  Run Adopted;
-  Adopted.Number_ = R.Run_;
-  Adopted.Worker_ = W.Info_.Id_;
-  Adopted.Phase_ = RunPhase::Running;
-  Adopted.Charged_ = workflow::chargedSize(*Spec);
-  Adopted.StartedAt_ = Now;
-  Adopted.SettledAt_ = Now;
-  Adopted.LastProgressAt_ = Now;
-  attachRun(State, R.Task_, std::move(Adopted));
-  count(State.Counters_, "run-adopted");
-  updateWaiting(State, R.Task_.Step_);
-}
-
-/// Whether the task is known and neither it nor its job has ended.
-bool isOpenTask(State &State, const TaskId &Id) {
-  Job *J = findJob(State, Id.Step_.Job_);
-  Task *T = findTask(State, Id);
-  return J && T && !T->Done_ && !workflow::isClosed(J->State_);
-}
-
-/// Updates the current run of a task from the list of its worker.
-void refreshRun(State &State, const workflow::StepSpec &Spec, Task &T,
-                const RunningTask &R, TimePoint Now) {
-  Run &Current = *T.Run_;
-  if (Current.Phase_ == RunPhase::Starting && !Current.InFlight_) {
-    Current.Phase_ = RunPhase::Running;
-    Current.SettledAt_ = Now;
-    if (!Current.StopRequested_)
-      State.PendingOrders_.erase(R.Task_);
-  }
-  recordProgress(Spec, Current, R.Percent_, Now);
-  if (!R.Checkpoint_.empty())
-    T.Checkpoint_ = R.Checkpoint_;
-}
-
-/// Processes the runs that a worker lists: updates known runs, adopts unknown
-/// ones of open tasks if this is the \p First list, and stops all others.
-void applyRunning(State &State, Worker &W, const RenewReply &Reply, bool First,
-                  TimePoint Now, Outbox &Out) {
-  W.UnclaimedSize_ = {};
-  for (const RunningTask &R : Reply.Running_) {
-    Task *T = findTask(State, R.Task_);
-    bool IsCurrentRun = T && T->Run_ && T->Run_->Worker_ == W.Info_.Id_ &&
-                        T->Run_->Number_ == R.Run_;
-    if (!IsCurrentRun && First && isOpenTask(State, R.Task_) && !T->Run_) {
-      adoptRun(State, W, R, Now);
-      IsCurrentRun = true;
-    }
-    if (IsCurrentRun) {
-      refreshRun(State, *findSpec(State, R.Task_.Step_), *T, R, Now);
-      if (!R.Checkpoint_.empty())
-        findStep(State, R.Task_.Step_)->GangCheckpoint_ = R.Checkpoint_;
-      continue;
-    }
-    count(State.Counters_, "run-unclaimed");
-    if (const workflow::StepSpec *Spec = findSpec(State, R.Task_.Step_))
-      W.UnclaimedSize_ += workflow::chargedSize(*Spec);
-    Out.Stops_.push_back({makeTarget(State, W), R.Task_, R.Run_});
-  }
-}
-
-/// Detaches runs that have ended, as a complete list requested after they were
-/// settled lacks them.
-void detachAbsentRuns(State &State, Worker &W, const RenewReply &Reply,
-                      TimePoint SentAt, TimePoint Now, Outbox &Out) {
-  if (!isComplete(Reply))
-    return;
-  std::set<TaskId> Listed;
-  for (const RunningTask &R : Reply.Running_)
-    Listed.insert(R.Task_);
-  std::set<TaskId> Tasks = W.Tasks_;
-  for (const TaskId &Id : Tasks) {
-    Task *T = findTask(State, Id);
-    if (Listed.count(Id) || !T || !T->Run_ || T->Run_->InFlight_)
-      continue;
-    if (!T->Run_->SettledAt_ || *T->Run_->SettledAt_ >= SentAt)
-      continue;
-    count(State.Counters_, "run-absent");
-    traceGiveUp(State, Id, "absent", Now, Out);
-    detachRun(State, Id);
-    stopIncompleteGang(State, Id.Step_);
-  }
-}
-
-void handleMiss(State &State, Worker &W, const RenewCall &Call,
-                TimePoint SentAt, TimePoint Now) {
-  if (Call.LeaseUntil_)
-    W.LooseLeaseSentAt_ = std::max(W.LooseLeaseSentAt_, SentAt);
-  recordMissedRenewal(State, W, SentAt, Now);
-  count(State.Counters_, "renewal-no-answer");
-  recordLostAnswer(State, Now);
-  W.RenewDueAt_ = Now + RenewRetryInterval;
-}
-
-/// Accounts for leases that were computed from the clock of the former
-/// incarnation and may have reached the present one. As its clock is lower, it
-/// shortened them only to the longest lease that it grants.
-void extendMisreadLease(State &State, Worker &W, const RenewCall &Call,
-                        TimePoint Now) {
-  if (!Call.LeaseUntil_ && W.LooseLeaseSentAt_ < W.AnsweredSentAt_)
-    return;
-  count(State.Counters_, "lease-misread");
-  extendLease(State, W, State.Options_.MaxLease_, Now);
-}
-
-/// Resets what belongs to the former incarnation if the worker has restarted.
-void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
-                       const RenewReply &Reply, TimePoint Now) {
-  if (W.RunsKnown_ && W.Incarnation_ == Reply.StartedUnixMs_)
-    return;
-  if (W.RunsKnown_) {
-    count(State.Counters_, "worker-restarted");
-    extendMisreadLease(State, W, Call, Now);
-  }
-  W.Incarnation_ = Reply.StartedUnixMs_;
-  W.SeenEnd_ = W.StoredEnd_ = 0;
-  W.FailedJobs_.clear();
-}
-
-void planNextRenewal(Worker &W, TimePoint Now) {
-  if (W.SeenEnd_ > W.StoredEnd_)
-    W.RenewDueAt_ = Now + AckWait;
-  else if (!W.Tasks_.empty())
-    W.RenewDueAt_ = Now + RenewSpacing;
-  else
-    W.RenewDueAt_ = Now + IdleRenewInterval;
-}
-
-} // namespace
-
 } // namespace detail
 
 void onWorker(State &State, const WorkerInfo &Info, TimePoint Now) {
@@ -383,66 +157,4 @@
   It->second.LeftRegistryAt_ = Now;
 }
 
-void onRenewReply(State &State, const RenewCall &Call, const RenewReply &Reply,
-                  TimePoint SentAt, TimePoint Now, Outbox &Out) {
-  auto It = State.Workers_.find(Call.Target_.Worker_);
-  if (It == State.Workers_.end())
-    return;
-  Worker &W = It->second;
-  W.RenewInFlight_ = false;
-  if (Reply.Status_ == CallStatus::Fenced) {
-    State.Fenced_ = true;
-    return;
-  }
-  bool Moved = Call.Target_.Address_ != W.Info_.Address_;
-  if (Reply.Status_ == CallStatus::Elsewhere && !Moved) {
-    // Another worker has its current address: this one has ended.
-    detail::confirmWorker(State, Call.Target_.Worker_);
-    W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
-    detail::abandonTasks(State, W, Now, Out, "replaced");
-    detail::handleMiss(State, W, Call, SentAt, Now);
-    W.RenewDueAt_ = Now + Milliseconds(1'000);
-    return;
-  }
-  if (Reply.Status_ != CallStatus::Done) {
-    detail::traceMiss(State, W, Call, SentAt, Now, Out);
-    detail::handleMiss(State, W, Call, SentAt, Now);
-    return;
-  }
-  if (std::size_t Unreadable = Reply.UnreadableRuns_ + Reply.UnreadableEnds_)
-    count(State.Counters_, "row-unreadable", Unreadable);
-  detail::resetMisses(W);
-  W.Clock_ = Reply.Clock_;
-  W.ClockAt_ = Now;
-  bool First = !W.RunsKnown_;
-  detail::updateIncarnation(State, W, Call, Reply, Now);
-  W.RunsKnown_ = true;
-  W.AnsweredSentAt_ = SentAt;
-  for (const EndedTask &End : Reply.Ended_) {
-    if (End.Number_ <= W.SeenEnd_) {
-      detail::traceKnownEnd(State, Call.Target_.Worker_, End, Out);
-      continue;
-    }
-    W.SeenEnd_ = End.Number_;
-    State.AcksDirty_ = true;
-    detail::applyEnd(State, Call.Target_.Worker_, End, Now, Out);
-  }
-  detail::applyRunning(State, W, Reply, First, Now, Out);
-  detail::detachAbsentRuns(State, W, Reply, SentAt, Now, Out);
-  detail::adjustThrottle(State, W, Reply, Out);
-  detail::stopStalled(State, W, Now, Out);
-  detail::confirmByList(State, Call.Target_.Worker_, Reply, Now);
-  if (First) {
-    State.PlacementNeeded_ = true;
-    Out.Notes_.push_back({"worker-known",
-                          {{"worker", Call.Target_.Worker_},
-                           {"running", Reply.Running_.size()},
-                           {"ended", Reply.Ended_.size()}}});
-  }
-  detail::planNextRenewal(W, Now);
-  // The reply gives the worker's clock, which the first lease needs.
-  if (!Call.LeaseUntil_)
-    W.RenewDueAt_ = Now;
-}
-
 } // namespace pollenvale::scheduler
