Repeated jobs: progress stored by an earlier build is moved, not dropped

An earlier build stored the steps of all occurrences in the record of the job; the next record of the job, which no longer has them, would have dropped those that hadn't changed since, and the owner after that would have started their tasks again (TWICE).

A new owner writes them to records of their own in its first round. A crash between two appends of that round, possible only with over 200 records, is not covered.

Test: repeats/progress_stored_by_an_earlier_build_is_kept fails without the change.

--- a/packages/scheduler/src/progress.cpp
+++ b/packages/scheduler/src/progress.cpp
@@ -86,6 +86,20 @@
       markDirty(State, J, Number);
 }
 
+/// Has the progress of occurrences that an earlier build stored in the record
+/// of the job written to records of their own.
+void moveInlineProgress(State &State, Job &J,
+                        const workflow::Progress &Stored) {
+  if (!workflow::isRepeated(J.Spec_))
+    return;
+  for (const workflow::OccurrenceProgress &O : Stored.Open_) {
+    if (O.Steps_.empty())
+      continue;
+    J.StoredOccurrences_.insert(O.Number_);
+    markDirty(State, J, O.Number_);
+  }
+}
+
 /// Steps of an occurrence as stored in the record of the job, or else in that
 /// of the occurrence.
 std::vector<workflow::StepProgress>
@@ -125,6 +139,7 @@
     }
     J.Open_[Stored.Number_] = std::move(O);
   }
+  moveInlineProgress(State, J, Progress);
   markLeftOvers(State, J);
   std::vector<std::uint32_t> Numbers;
   for (const auto &[Number, O] : J.Open_)
--- a/packages/scheduler/tests/unit-repeats.cpp
+++ b/packages/scheduler/tests/unit-repeats.cpp
@@ -91,3 +91,28 @@
   cr_assert_eq(C.state("j1"), JobState::Failed);
   cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
 }
+
+// Guards against TWICE: an earlier build stored all occurrences in the record
+// of the job, which this build writes without their steps.
+Test(repeats, progress_stored_by_an_earlier_build_is_kept) {
+  ledger::ReplicatedJob Row;
+  Row.Accepted_.Spec_ = repeatedJob(3, 2);
+  Row.Progress_.Open_ = {{1, {{{true}, {}}, {{false}, {}}}}};
+  Row.Progress_.DoneBefore_ = 2;
+  scheduler::State S = scheduler::makeState({}, {}, {});
+  scheduler::onJob(S, "j1", Row, true, TimePoint{}, 0);
+  scheduler::Outbox Out;
+  scheduler::tick(S, TimePoint{Milliseconds(500)}, 0, Out);
+  ledger::Replica Copy;
+  Copy.Jobs_["j1"].Accepted_ = Row.Accepted_;
+  for (const ledger::KeyedRecord &R : Out.Writes_.at(0).Records_)
+    ledger::apply(Copy, R);
+  scheduler::State Next = scheduler::makeState({}, {}, {});
+  Row = Copy.Jobs_.at("j1");
+  Row.Progress_.Open_ = {{1, {}}};
+  Row.Progress_.DoneBefore_ = 2;
+  scheduler::onJob(Next, "j1", Row, true, TimePoint{}, 0);
+  const scheduler::Occurrence &O = Next.Jobs_.at("j1").Open_.at(1);
+  cr_assert(O.Steps_[0].Tasks_[0].Done_);
+  cr_assert_not(O.Steps_[1].Tasks_[0].Done_);
+}
