--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -63,15 +63,15 @@
 /// service to which the queue belonged when the job was accepted.
 StoredJob findJobOfQueue(const Intake &State, const workflow::Queue &Q,
                          const JobId &Job) {
-  std::uint32_t Today = partitionOf(Q.Service_, State.TopicPartitions_);
-  if (const ledger::ReplicatedJob *Row = findJob(State, Today, Job))
-    return {Today, Row};
+  std::uint32_t Present = partitionOf(Q.Service_, State.TopicPartitions_);
+  if (const ledger::ReplicatedJob *Row = findJob(State, Present, Job))
+    return {Present, Row};
   for (const auto &[Number, Copy] : State.Partitions_) {
     const ledger::ReplicatedJob *Row = findJob(State, Number, Job);
     if (Row && Row->Accepted_.Queue_.Name_ == Q.Name_)
       return {Number, Row};
   }
-  return {Today, nullptr};
+  return {Present, nullptr};
 }
 
 void answer(Intake &State, const std::shared_ptr<PendingWrite> &Write,
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -141,7 +141,7 @@
   /// When the last renewal was sent that has been answered.
   TimePoint AnsweredSentAt_{};
   /// When a lease was last sent by a start or by an unanswered renewal.
-  TimePoint LooseLeaseSentAt_{};
+  TimePoint UnconfirmedLeaseSentAt_{};
   std::uint64_t SeenEnd_ = 0;   ///< Highest number of an end processed.
   std::uint64_t StoredEnd_ = 0; ///< Ends up to this number are stored.
   std::set<JobId> FailedJobs_;  ///< Jobs with failures there since a success.
@@ -188,7 +188,9 @@
 struct ProgressId {
   JobId Job_;
   std::optional<std::uint32_t> Occurrence_;
-  auto operator<=>(const ProgressId &) const = default;
+  bool operator<(const ProgressId &O) const {
+    return std::tie(Job_, Occurrence_) < std::tie(O.Job_, O.Occurrence_);
+  }
 };
 
 /// Changes that are written together, by one write or by several in a row.
@@ -230,7 +232,7 @@
       false; ///< UnconfirmedWorkers_ has not been empty yet.
   std::set<StepId> WaitingSteps_;      ///< Ready steps with tasks to start.
   std::set<ProgressId> DirtyProgress_; ///< Changed since the round began.
-  WriteRound Round_;
+  WriteRound Round_;                   ///< The changes that are being written.
   std::set<TaskId> PendingOrders_;     ///< Tasks with a start or stop to send.
   std::vector<JobId> NewlyClosedJobs_; ///< Closed since the last tick.
   std::set<JobId> ExpiredJobs_; ///< Closed jobs to remove from the store.
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -197,7 +197,7 @@
   R.InFlight_ = true;
   R.SettledAt_.reset();
   extendLease(State, W, State.Options_.StartDeadline_, Now);
-  W.LooseLeaseSentAt_ = Now;
+  W.UnconfirmedLeaseSentAt_ = Now;
   return Call;
 }
 
--- a/packages/scheduler/src/progress.cpp
+++ b/packages/scheduler/src/progress.cpp
@@ -78,9 +78,9 @@
 
 namespace {
 
-/// Has the records of occurrences that are done removed: the former owner did
-/// not come to it.
-void markLeftOvers(State &State, const Job &J) {
+/// Has the records of finished occurrences removed that the former owner left
+/// in the store.
+void markFinishedOccurrences(State &State, const Job &J) {
   for (std::uint32_t Number : J.StoredOccurrences_)
     if (workflow::isClosed(J.State_) || !J.Open_.count(Number))
       markDirty(State, J, Number);
@@ -127,7 +127,7 @@
   J.NextOccurrence_ = Progress.DoneBefore_;
   if (workflow::isClosed(J.State_)) {
     J.ClosedAt_ = Now;
-    markLeftOvers(State, J);
+    markFinishedOccurrences(State, J);
     return;
   }
   for (const workflow::OccurrenceProgress &Stored : Progress.Open_) {
@@ -140,7 +140,7 @@
     J.Open_[Stored.Number_] = std::move(O);
   }
   moveInlineProgress(State, J, Progress);
-  markLeftOvers(State, J);
+  markFinishedOccurrences(State, J);
   std::vector<std::uint32_t> Numbers;
   for (const auto &[Number, O] : J.Open_)
     Numbers.push_back(Number);
--- a/packages/scheduler/src/renewals.cpp
+++ b/packages/scheduler/src/renewals.cpp
@@ -193,7 +193,7 @@
 void handleMiss(State &State, Worker &W, const RenewCall &Call,
                 TimePoint SentAt, TimePoint Now) {
   if (Call.LeaseUntil_)
-    W.LooseLeaseSentAt_ = std::max(W.LooseLeaseSentAt_, SentAt);
+    W.UnconfirmedLeaseSentAt_ = std::max(W.UnconfirmedLeaseSentAt_, SentAt);
   recordMissedRenewal(State, W, SentAt, Now);
   count(State.Counters_, "renewal-no-answer");
   recordLostAnswer(State, Now);
@@ -205,7 +205,7 @@
 /// shortened them only to the longest lease that it grants.
 void extendMisreadLease(State &State, Worker &W, const RenewCall &Call,
                         TimePoint Now) {
-  if (!Call.LeaseUntil_ && W.LooseLeaseSentAt_ < W.AnsweredSentAt_)
+  if (!Call.LeaseUntil_ && W.UnconfirmedLeaseSentAt_ < W.AnsweredSentAt_)
     return;
   count(State.Counters_, "lease-misread");
   extendLease(State, W, State.Options_.MaxLease_, Now);
