Jobs of a service that has left the configuration are owned and read to their end

What callers saw: a job is accepted and works; a new version of the configuration lacks its service, and the owner of its slice dies.

Cause: which slices want an owner, which partitions of the job topic are followed and when an entry is ready were derived from today's configuration alone. Nobody claims the slice of a service that is no longer configured, and a new process reads none of its jobs.

Change: a service is served while it is configured, or its slice has a claim in the store, or a copy holds an open job of it that was accepted by an entry with an older configuration (fleet/served_services). Entries are ready once they have read the claims (reason claims-not-loaded). The owner of a service that is not configured gives the workers back after the last open job, keeps closed jobs for as long as callers may ask, then removes the roster, the fence and, where it has read to, the claim; the copies of the partition are dropped with it. The configuration has a module of its own (fleet/configuration), as entry.cpp had grown.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/caller_service.hpp"
 #include "fleet/clock.hpp"
+#include "fleet/configuration.hpp"
 #include "fleet/graceful_stop.hpp"
 #include "fleet/job_copies.hpp"
 #include "fleet/loop_watch.hpp"
@@ -9,6 +10,7 @@
 #include "fleet/peer_directory.hpp"
 #include "fleet/policy_calls.hpp"
 #include "fleet/readiness.hpp"
+#include "fleet/served_services.hpp"
 #include "fleet/turn_timer.hpp"
 #include "fleet/worker_registry.hpp"
 #include "observe/observe.hpp"
@@ -127,41 +129,36 @@
         {[this](const ledger::KeyedRecord &R) {
            ownership::onRecord(Claims_, R, now());
          },
-         {},
+         [this](const std::set<std::string> &Keys) {
+           ownership::onLoaded(Claims_, Keys, ClaimTail_.Next_);
+         },
          [this] {
            ownership::onContact(Claims_, ClaimTail_.CurrentAt_, now());
+           syncOwners();
            postDueWork();
          }});
   }
 
   void onConfig(const ledger::KeyedRecord &R) {
-    if (R.Key_ != platform::ConfigKey || R.Value_.empty())
-      return;
-    auto Parsed = platform::parseCatalog(R.Value_);
-    if (!Parsed) {
-      count(Counters_, "config-unreadable");
-      observe::log(Level::Error, "config-unreadable",
-                   {{"message", Parsed.error().Message_}});
-      return;
-    }
-    if (HasCatalog_ && Parsed.value().Version_ <= Catalog_.Version_)
+    if (!applyRecord(Config_, R, Counters_))
       return;
-    Catalog_ = std::move(Parsed.value());
-    HasCatalog_ = true;
-    observe::log(
-        Level::Info, "config-in-force",
-        {{"version", Catalog_.Version_}, {"queues", Catalog_.Queues_.size()}});
-    for (const workflow::Service &S : Catalog_.Services_)
-      Copies_.follow(partitionOf(S.Name_));
+    followJobs();
     Slices_.onCatalog();
     postDueWork();
   }
 
-  std::set<ownership::SliceName> wantedSlices() const {
-    std::set<ownership::SliceName> Out;
-    for (const workflow::Service &S : Catalog_.Services_)
-      Out.insert(S.Name_);
-    return Out;
+  /// Follows the jobs of all services that are served. Owners that have lost
+  /// their claim must have been removed before, as their copy may be dropped.
+  void followJobs() {
+    if (!Config_.Known_)
+      return;
+    Services_.update(Config_.Catalog_, Claims_, Intake_);
+    Copies_.followOnly(Services_.partitions(Boot_.StorePartitions_));
+  }
+
+  void onJobAccepted(std::uint32_t Partition, const JobId &Job) {
+    const auto &Jobs = Intake_.Partitions_.at(Partition).Replica_.Jobs_;
+    Services_.onJobAccepted(Jobs.at(Job).Accepted_.Queue_.Service_);
   }
 
   void tickClaims() {
@@ -169,16 +166,21 @@
     if (ClaimTail_.Loaded_ && !ClaimTail_.Loading_)
       End = ClaimTail_.Next_;
     for (ownership::Write &W :
-         ownership::tick(Claims_, wantedSlices(), End, now()))
+         ownership::tick(Claims_, Services_.names(), End, now()))
       writeClaim(std::move(W));
     syncOwners();
   }
 
+  const char *releaseReason(const ownership::Write &W) const {
+    if (W.Record_.Value_.empty())
+      return "retired";
+    return Stopping_ ? "stopping" : "overloaded";
+  }
+
   void writeClaim(ownership::Write W) {
     if (W.Kind_ == ownership::Write::Kind::Release && !W.Repeated_)
       observe::log(Level::Info, "slice-given-up",
-                   {{"slice", W.Slice_},
-                    {"reason", Stopping_ ? "stopping" : "overloaded"}});
+                   {{"slice", W.Slice_}, {"reason", releaseReason(W)}});
     ledger::AppendCall Call;
     Call.Partition_ = {ClaimTopic, 0};
     Call.Records_ = {W.Record_};
@@ -193,6 +195,7 @@
 
   void syncOwners() {
     Slices_.sync(Claims_);
+    followJobs();
     for (auto &[Number, Copy] : Intake_.Partitions_)
       Copy.Tail_.Options_.Spacing_ = spacingOf(Number);
     if (Slices_.empty())
@@ -205,18 +208,15 @@
     return Store_.announcesRecords() ? CopySpacing : UnannouncedSpacing;
   }
 
-  std::uint32_t partitionOf(const ServiceName &Service) const {
-    return intake::partitionOf(Service, Boot_.StorePartitions_);
-  }
-
   SliceContext contextFor(const ownership::SliceName &Slice) {
     Registry_.follow();
     SliceContext Context;
-    Context.PartitionNumber_ = partitionOf(Slice);
+    Context.PartitionNumber_ =
+        intake::partitionOf(Slice, Boot_.StorePartitions_);
     Copies_.follow(Context.PartitionNumber_);
     Context.Client_ = &Client_;
     Context.Store_ = &Store_;
-    Context.Catalog_ = &Catalog_;
+    Context.Catalog_ = &Config_.Catalog_;
     Context.Registry_ = &Registry_;
     Context.Partition_ = &Intake_.Partitions_.at(Context.PartitionNumber_);
     Context.RequestAdvice_ = [this](scheduler::AdviceCall Call) {
@@ -234,8 +234,8 @@
 
   void serveCaller(const http::ServerRequest &R,
                    const http::Responder &Respond) {
-    bool Loaded = unloadedPartitions(Intake_).empty();
-    if (!HasCatalog_ || !Loaded) {
+    bool Loaded = ClaimTail_.Loaded_ && unloadedPartitions(Intake_).empty();
+    if (!Config_.Known_ || !Loaded) {
       count(Counters_, "not-ready-rejected");
       ReadinessLog_.addRejected();
     }
@@ -273,7 +273,8 @@
   }
 
   Readiness readiness() const {
-    return readinessOf({Stopping_, HasCatalog_}, Intake_, now());
+    return readinessOf({Stopping_, Config_.Known_, ClaimTail_.Loaded_}, Intake_,
+                       now());
   }
 
   void postDueWork() { DueWork_.request(); }
@@ -384,15 +385,17 @@
   PeerChannel Peers_{Io_, Counters_};
   PeerDirectory PeerDirectory_;
   relay::RelayStore Store_{makePorts()};
-  workflow::Catalog Catalog_;
-  bool HasCatalog_ = false;
+  Configuration Config_;
   ledger::Tail ConfigTail_, ClaimTail_;
   std::shared_ptr<Follower> ConfigFollower_, ClaimFollower_;
   intake::Intake Intake_;
+  ServedServices Services_;
   JobCopies Copies_{
       Store_,
       Intake_,
       {[this](std::uint32_t Partition, const ledger::Change &Change) {
+         if (Change.Kind_ == ledger::Change::Kind::Accepted)
+           onJobAccepted(Partition, Change.Job_);
          Slices_.onRecord(Partition, Change);
        },
        [this](std::uint32_t Partition) {
@@ -406,7 +409,7 @@
                              postDueWork();
                            }};
   StartCalls Starts_{Peers_, Client_, Intake_.Partitions_, Counters_};
-  CallerService Service_{Intake_, Catalog_, HasCatalog_, Counters_};
+  CallerService Service_{Intake_, Config_.Catalog_, Config_.Known_, Counters_};
   WorkerRegistry Registry_{
       Store_,
       Counters_,
--- a/apps/pollenvale/fleet/job_copies.cpp
+++ b/apps/pollenvale/fleet/job_copies.cpp
@@ -8,6 +8,18 @@
 
 } // namespace
 
+void JobCopies::followOnly(const std::set<std::uint32_t> &Partitions) {
+  std::erase_if(Followers_, [&](const auto &Row) {
+    if (Partitions.count(Row.first))
+      return false;
+    Row.second->stop();
+    Intake_.Partitions_.erase(Row.first);
+    return true;
+  });
+  for (std::uint32_t Partition : Partitions)
+    follow(Partition);
+}
+
 void JobCopies::follow(std::uint32_t Partition) {
   auto [It, New] = Intake_.Partitions_.try_emplace(Partition);
   if (!New)
--- a/apps/pollenvale/fleet/job_copies.hpp
+++ b/apps/pollenvale/fleet/job_copies.hpp
@@ -27,6 +27,9 @@
 
   /// Begins to follow \p Partition. No effect if it is followed already.
   void follow(std::uint32_t Partition);
+  /// Follows these partitions and no others. Copies of partitions that are no
+  /// longer followed are dropped; no owner of a slice may use them any more.
+  void followOnly(const std::set<std::uint32_t> &Partitions);
   /// Takes in records of \p Partition that their writer announced.
   void deliver(std::uint32_t Partition,
                std::vector<ledger::KeyedRecord> Records);
--- a/apps/pollenvale/fleet/owned_slices.cpp
+++ b/apps/pollenvale/fleet/owned_slices.cpp
@@ -15,14 +15,18 @@
     auto Claim = Claims.OwnSlices_.find(It->first);
     bool ClaimLost = Claim == Claims.OwnSlices_.end() ||
                      Claim->second.Number_ != Owned.Claim_;
-    if (Owned.Owner_->hasEnded() && !ClaimLost)
-      ownership::forgetSlice(Claims, It->first);
-    if (!ClaimLost && !Owned.Owner_->hasEnded()) {
+    bool Retired = Owned.Owner_->isRetired();
+    if (!ClaimLost && !Retired && !Owned.Owner_->hasEnded()) {
       ++It;
       continue;
     }
+    if (!ClaimLost && Retired)
+      ownership::removeSlice(Claims, It->first);
+    else if (!ClaimLost)
+      ownership::forgetSlice(Claims, It->first);
     Owned.Owner_->stop();
-    observe::log(Level::Info, "slice-left", {{"slice", It->first}});
+    observe::log(Level::Info, "slice-left",
+                 {{"slice", It->first}, {"retired", Retired}});
     It = Owners_.erase(It);
   }
   for (const auto &[Slice, Claim] : Claims.OwnSlices_)
--- a/apps/pollenvale/fleet/owned_slices.hpp
+++ b/apps/pollenvale/fleet/owned_slices.hpp
@@ -16,8 +16,8 @@
   explicit OwnedSlices(MakeContext Make) : MakeContext_(std::move(Make)) {}
 
   /// Adds owners for new claims and removes those of lost claims. Drops claims
-  /// whose owner has ended, and records in \p Claims since when this entry has
-  /// been overloaded.
+  /// whose owner has ended, removes those of retired slices, and records in \p
+  /// Claims since when this entry has been overloaded.
   void sync(ownership::State &Claims);
   /// Sends every call that is due. \p MayOrder: this entry's claims are valid.
   /// \p IsStoreStale tells for a partition whether the store's data for it is
--- a/apps/pollenvale/fleet/readiness.cpp
+++ b/apps/pollenvale/fleet/readiness.cpp
@@ -12,6 +12,8 @@
     return "stopping";
   case Readiness::NoConfiguration:
     return "no-configuration";
+  case Readiness::ClaimsNotLoaded:
+    return "claims-not-loaded";
   case Readiness::JobsNotLoaded:
     return "jobs-not-loaded";
   case Readiness::StoreUnreachable:
@@ -34,6 +36,8 @@
     return Readiness::Stopping;
   if (!Input.HasCatalog_)
     return Readiness::NoConfiguration;
+  if (!Input.HasClaims_)
+    return Readiness::ClaimsNotLoaded;
   if (!unloadedPartitions(Intake).empty())
     return Readiness::JobsNotLoaded;
   return intake::isStoreReachable(Intake, Now) ? Readiness::Ready
--- a/apps/pollenvale/fleet/readiness.hpp
+++ b/apps/pollenvale/fleet/readiness.hpp
@@ -10,6 +10,7 @@
   Ready,
   Stopping,
   NoConfiguration, ///< No configuration has been read since the start.
+  ClaimsNotLoaded, ///< The claims, which name further services, are not read.
   JobsNotLoaded,   ///< Some copy of a job partition was never complete.
   StoreUnreachable
 };
@@ -19,6 +20,7 @@
 struct ReadinessInput {
   bool Stopping_ = false;
   bool HasCatalog_ = false; ///< A configuration has been read.
+  bool HasClaims_ = false;  ///< All claims have been read.
 };
 
 Readiness readinessOf(const ReadinessInput &Input, const intake::Intake &Intake,
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -20,6 +20,9 @@
 /// The copy of the jobs counts as behind when stored records have not been read
 /// for this long, or earlier if cancellations must take effect sooner.
 constexpr Milliseconds MaxReadDelay{2'500};
+/// How long the workers are kept after the last job of a service that has left
+/// the configuration, for the ends of its tasks to be acknowledged.
+constexpr Milliseconds WorkerReleaseDelay{5'000};
 
 } // namespace
 
@@ -89,9 +92,9 @@
       Claim_, Roster,
       std::max(Options.Lease_, Options.OutageLease_) + LeaseMargin, SelfFence_);
   State_ = scheduler::makeState(std::move(Options), *Context_.Catalog_, Roster);
-  for (const auto &[Id, Info] : Context_.Registry_->workers())
-    if (Info.Service_ == Slice_)
-      scheduler::onWorker(State_, Info, now());
+  Configured_ = workflow::hasService(*Context_.Catalog_, Slice_);
+  WorkersNeededAt_ = now();
+  addWorkersOfRegistry();
   std::size_t Jobs = 0, Closed = 0, WithProgress = 0;
   for (const auto &[Id, Job] : Copy.Jobs_)
     if (ownsJob(Id)) {
@@ -123,10 +126,13 @@
   if (Stage_ == Stage::CatchingUp && Tail.Loaded_ && !Tail.Loading_ &&
       Tail.Next_ > FenceOffset_ && Context_.Registry_->isLoaded())
     startScheduling();
-  if (Stage_ != Stage::Running || !MayOrder)
+  if ((Stage_ != Stage::Running && Stage_ != Stage::Retiring) || !MayOrder)
     return;
   if (auto Append = ledger::repeatWrite(Writer_, now()))
     send(std::move(*Append), RepeatedWriteId_);
+  if (Stage_ == Stage::Retiring)
+    return;
+  updateWorkers();
   State_.StoreUnreachable_ = StoreStale;
   State_.BehindStore_ = isBehind();
   scheduler::Outbox Out;
@@ -134,6 +140,34 @@
   perform(Out);
   if (State_.Fenced_)
     loseSlice("a worker has seen a higher token");
+  else if (!Configured_ && scheduler::isEmpty(State_))
+    beginRetirement();
+}
+
+void SliceOwner::addWorkersOfRegistry() {
+  for (const auto &[Id, Info] : Context_.Registry_->workers())
+    if (Info.Service_ == Slice_)
+      scheduler::onWorker(State_, Info, now());
+}
+
+void SliceOwner::updateWorkers() {
+  if (Configured_ || scheduler::hasOpenJobs(State_))
+    WorkersNeededAt_ = now();
+  bool Needed = now() - WorkersNeededAt_ < WorkerReleaseDelay;
+  if (Needed == HasWorkers_)
+    return;
+  HasWorkers_ = Needed;
+  if (Needed)
+    addWorkersOfRegistry();
+  else
+    scheduler::releaseWorkers(State_, now());
+}
+
+void SliceOwner::beginRetirement() {
+  Stage_ = Stage::Retiring;
+  observe::log(Level::Info, "slice-retiring",
+               {{"slice", Slice_}, {"claim", Claim_.Number_}});
+  send(ledger::beginWrite(Writer_, ledger::makeSliceRemoval(Slice_)), 0);
 }
 
 bool SliceOwner::isBehind() const {
@@ -177,7 +211,7 @@
 }
 
 void SliceOwner::onWorker(const scheduler::WorkerInfo &Info) {
-  if (Stage_ == Stage::Running && Info.Service_ == Slice_)
+  if (Stage_ == Stage::Running && HasWorkers_ && Info.Service_ == Slice_)
     scheduler::onWorker(State_, Info, now());
   else if (Stage_ == Stage::Running)
     scheduler::onWorkerGone(State_, Info.Id_, now());
@@ -189,8 +223,10 @@
 }
 
 void SliceOwner::onCatalog() {
-  if (Stage_ == Stage::Running)
-    scheduler::onCatalog(State_, *Context_.Catalog_);
+  if (Stage_ != Stage::Running)
+    return;
+  Configured_ = workflow::hasService(*Context_.Catalog_, Slice_);
+  scheduler::onCatalog(State_, *Context_.Catalog_);
 }
 
 void SliceOwner::onAdvice(const scheduler::AdviceCall &Call,
@@ -277,6 +313,8 @@
       [Self = shared_from_this(), WriteId](const ledger::AppendReply &R) {
         if (Self->Stage_ == Stage::Running)
           Self->onWritten(WriteId, R);
+        else if (Self->Stage_ == Stage::Retiring)
+          Self->onRemovalWritten(R);
       });
 }
 
@@ -300,6 +338,21 @@
   Context_.PostDueWork_();
 }
 
+void SliceOwner::onRemovalWritten(const ledger::AppendReply &Reply) {
+  switch (ledger::onAppended(Writer_, Reply, now())) {
+  case ledger::WriteOutcome::Stored:
+    Stage_ = Stage::Retired;
+    break;
+  case ledger::WriteOutcome::NotStored:
+    return beginRetirement();
+  case ledger::WriteOutcome::Fenced:
+    return loseSlice("the store rejected a write because of a higher claim");
+  case ledger::WriteOutcome::Pending:
+    break;
+  }
+  Context_.PostDueWork_();
+}
+
 void SliceOwner::logUnstored(const ledger::Fence &Sent,
                              const ledger::AppendReply &Reply) {
   scheduler::Note N{"write-not-stored",
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -55,6 +55,9 @@
   void stop() { Stage_ = Stage::Ended; }
   /// Whether the owner has been stopped or its claim has been superseded.
   bool hasEnded() const { return Stage_ == Stage::Ended; }
+  /// Whether nothing of the slice is left in the store but its claim: its
+  /// service has left the configuration and all of its jobs are over.
+  bool isRetired() const { return Stage_ == Stage::Retired; }
   /// Earliest time at which a call may be due.
   TimePoint nextDue() const;
   /// Whether the scheduler has recently run late.
@@ -62,7 +65,14 @@
   const Counters &counters() const { return State_.Counters_; }
 
 private:
-  enum class Stage { Fencing, CatchingUp, Running, Ended };
+  enum class Stage {
+    Fencing,
+    CatchingUp,
+    Running,
+    Retiring, ///< Its last records are being removed; nothing else is sent.
+    Retired,
+    Ended
+  };
 
   /// A callback that passes the reply to \p Handle, unless the owner has ended
   /// in the meantime.
@@ -72,6 +82,11 @@
   void sendFence();
   /// Builds the scheduler's state from the stored jobs and starts scheduling.
   void startScheduling();
+  /// Keeps the workers of the service while it is configured or has open jobs.
+  void updateWorkers();
+  /// Removes the last records of the slice from the store.
+  void beginRetirement();
+  void addWorkersOfRegistry();
   /// Carries out all calls in \p Out and logs its notes.
   void perform(scheduler::Outbox &Out);
   void writeNote(scheduler::Note &N);
@@ -82,6 +97,7 @@
   /// \p WriteId: the scheduler's id of the write that \p Append carries out.
   void send(ledger::AppendCall Append, std::uint64_t WriteId);
   void onWritten(std::uint64_t WriteId, const ledger::AppendReply &Reply);
+  void onRemovalWritten(const ledger::AppendReply &Reply);
   /// Logs a write that was not stored. \p Sent: its fence at the time of
   /// sending.
   void logUnstored(const ledger::Fence &Sent, const ledger::AppendReply &Reply);
@@ -100,6 +116,9 @@
   bool FenceInFlight_ = false;
   TimePoint FenceDueAt_{};
   Offset FenceOffset_ = 0; ///< Offset of this owner's stored fence.
+  bool Configured_ = true; ///< The configuration lists the service.
+  bool HasWorkers_ = true;
+  TimePoint WorkersNeededAt_{}; ///< When there were open jobs last.
   ledger::Writer Writer_;
   std::uint64_t RepeatedWriteId_ = 0; ///< Id of the write that Writer_ repeats.
   scheduler::State State_;
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -61,6 +61,8 @@
 /// Records without a value, which remove every key of \p Job but those of its
 /// occurrences.
 std::vector<KeyedRecord> makeRemoval(const JobId &Job);
+/// Records without a value, which remove the roster and the fence of \p Slice.
+std::vector<KeyedRecord> makeSliceRemoval(const std::string &Slice);
 
 /// Empty if \p Value can't be decoded or its workflow is invalid.
 std::optional<AcceptedJob> parseJob(const std::string &Value);
--- a/packages/ledger/src/record.cpp
+++ b/packages/ledger/src/record.cpp
@@ -90,6 +90,10 @@
           {keyOf(ProgressPrefix, Job), ""}};
 }
 
+std::vector<KeyedRecord> makeSliceRemoval(const std::string &Slice) {
+  return {{RosterPrefix + Slice, ""}, {FencePrefix + Slice, ""}};
+}
+
 std::optional<AcceptedJob> parseJob(const std::string &Value) {
   auto Job = unpack<AcceptedJob>(Value);
   if (Job && !workflow::validate(Job->Spec_))
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -67,6 +67,10 @@
     removeOccurrence(Copy, Name);
     return {};
   }
+  if (R.Value_.empty() && Name.Kind_ == RecordKind::Roster) {
+    Copy.Rosters_.erase(Name.Slice_);
+    return {};
+  }
   if (R.Value_.empty()) {
     bool Known = Name.Kind_ == RecordKind::Job && Copy.Jobs_.erase(Name.Job_);
     Copy.EarlyJobs_.erase(Name.Job_);
--- a/packages/ledger/tests/unit-replica.cpp
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -146,3 +146,16 @@
   for (const char *Bad : {"oab", "o.1", "oab.", "oab.x", "oab.1x", "oab.-1"})
     cr_assert(nameOf(Bad).Kind_ == RecordKind::Unknown, "%s", Bad);
 }
+
+// Guards against an owner of a service that came back and waits for workers of
+// the retired one.
+Test(replica, the_removal_of_a_slice_removes_its_roster) {
+  Replica Copy;
+  apply(Copy, makeRoster("s", {{"w1"}, 7, true}));
+  apply(Copy, makeRoster("t", {{"w2"}, 8, true}));
+  for (const KeyedRecord &R : makeSliceRemoval("s"))
+    cr_assert(apply(Copy, R).Kind_ == Change::Kind::None);
+  cr_assert_eq(Copy.Rosters_.count("s"), 0u);
+  cr_assert_eq(Copy.Rosters_.count("t"), 1u);
+  cr_assert_eq(Copy.UnreadableRecords_, 0u);
+}
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -85,11 +85,12 @@
   TimePoint ClaimedAt_{};
 };
 
-/// A slice that this entry gives up. Its release is sent again until it is
-/// stored, or a later claim makes it unnecessary.
+/// A slice that this entry gives up. Its release, or the removal of its claim,
+/// is sent again until it is stored, or a later claim makes it unnecessary.
 struct PendingRelease {
   ClaimNumber Number_ = 0; ///< Claim to release.
   std::uint32_t Generation_ = 0;
+  bool Removes_ = false; ///< Removes the claim: no entry is to own the slice.
   bool InFlight_ = false;
   unsigned Sends_ = 0;  ///< How often the release was sent.
   TimePoint RetryAt_{}; ///< When an unanswered release is sent again.
@@ -136,15 +137,20 @@
 
 /// Applies a record that was read from the claims topic.
 void onRecord(State &Claims, const ledger::KeyedRecord &R, TimePoint Now);
+/// Forgets the claims that a completed load of the topic lacks: they have been
+/// removed. \p Keys: keys of the loaded records. \p LoadEnd: end of the
+/// partition when the load began.
+void onLoaded(State &Claims, const std::set<std::string> &Keys, Offset LoadEnd);
 /// Notes that the store answered a read of the claims topic at \p Now. Every
 /// claim that was stored before \p CurrentAt has been read.
 void onContact(State &Claims, TimePoint CurrentAt, TimePoint Now);
 /// Handles the store's reply to a write that tick() has returned.
 void onWritten(State &Claims, const Write &W, const ledger::AppendReply &Reply,
                TimePoint Now);
-/// Writes that are due. \p Wanted: slices of the configuration in force.
-/// \p End: end of the claims partition as far as it was read; empty while
-/// unknown.
+/// Slices with a claim in the topic, held or released.
+std::set<SliceName> claimedSlices(const State &Claims);
+/// Writes that are due. \p Wanted: slices that are to have an owner. \p End:
+/// end of the claims partition as far as it was read; empty while unknown.
 std::vector<Write> tick(State &Claims, const std::set<SliceName> &Wanted,
                         std::optional<Offset> End, TimePoint Now);
 /// Time after which no lease of an earlier owner can be valid. \p Roster: the
@@ -155,6 +161,8 @@
                              Milliseconds SelfFence);
 /// Addresses of the other entries whose heartbeats were read.
 std::vector<std::string> peerAddresses(const State &Claims);
+/// Gives up an own slice that needs no owner any more, and removes its claim.
+void removeSlice(State &Claims, const SliceName &Slice);
 /// Forgets an own slice whose claim turned out to be superseded.
 void forgetSlice(State &Claims, const SliceName &Slice);
 /// False when the owner must send no orders: it has not read the claims for so
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -44,6 +44,8 @@
 /// empty.
 std::string nameOf(const std::string &Key);
 ledger::KeyedRecord makeClaim(const SliceName &Slice, const ClaimRecord &R);
+/// Record without a value, which removes the claim of \p Slice.
+ledger::KeyedRecord makeClaimRemoval(const SliceName &Slice);
 ledger::KeyedRecord makeNode(const std::string &Name, const NodeRecord &R);
 /// Empty if \p Value can't be decoded.
 std::optional<ClaimRecord> parseClaim(const std::string &Value);
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -35,6 +35,16 @@
     Claims.OwnSlices_.erase(Own);
 }
 
+/// Handles the removal of the slice's claim at \p Offset.
+void onClaimRemoved(State &Claims, const SliceName &Slice, Offset Offset) {
+  auto View = Claims.Slices_.find(Slice);
+  if (View != Claims.Slices_.end() && View->second.Number_ <= Offset)
+    Claims.Slices_.erase(View);
+  auto Own = Claims.OwnSlices_.find(Slice);
+  if (Own != Claims.OwnSlices_.end() && Own->second.Number_ <= Offset)
+    Claims.OwnSlices_.erase(Own);
+}
+
 void onHeartbeat(State &Claims, const std::string &Name, const NodeRecord &R,
                  TimePoint Now) {
   NodeView &View = Claims.Nodes_[Name];
@@ -134,8 +144,11 @@
 /// Forgets releases that are stored and those of superseded claims.
 void dropSettledReleases(State &Claims) {
   std::erase_if(Claims.Releases_, [&](const auto &Release) {
-    const SliceView &View = Claims.Slices_[Release.first];
-    return View.Released_ || View.Number_ > Release.second.Number_;
+    auto View = Claims.Slices_.find(Release.first);
+    if (View == Claims.Slices_.end())
+      return true;
+    bool Released = View->second.Released_ && !Release.second.Removes_;
+    return Released || View->second.Number_ > Release.second.Number_;
   });
 }
 
@@ -149,6 +162,8 @@
     ClaimRecord R{Claims.Options_.Self_, Release.Generation_, Release.Number_,
                   Claims.Options_.Address_, Claims.StartOffset_};
     Write W{Write::Kind::Release, Slice, makeClaim(Slice, R), End};
+    if (Release.Removes_)
+      W.Record_ = makeClaimRemoval(Slice);
     W.Repeated_ = Release.Sends_++ > 0;
     Release.InFlight_ = true;
     Out.push_back(std::move(W));
@@ -171,8 +186,13 @@
     Release.RetryAt_ = Now + ReleaseRetryInterval;
     return;
   }
-  SliceView &View = Claims.Slices_[W.Slice_];
-  View.Released_ = View.Released_ || View.Number_ == Release.Number_;
+  auto View = Claims.Slices_.find(W.Slice_);
+  bool Newest =
+      View != Claims.Slices_.end() && View->second.Number_ == Release.Number_;
+  if (Newest && Release.Removes_)
+    Claims.Slices_.erase(View);
+  else if (Newest)
+    View->second.Released_ = true;
   Claims.Releases_.erase(It);
 }
 
@@ -214,7 +234,9 @@
 
 void onRecord(State &Claims, const ledger::KeyedRecord &R, TimePoint Now) {
   std::string Name = R.Key_.empty() ? "" : nameOf(R.Key_);
-  if (kindOf(R.Key_) == RecordKind::Claim) {
+  if (kindOf(R.Key_) == RecordKind::Claim && R.Value_.empty()) {
+    onClaimRemoved(Claims, Name, R.Offset_);
+  } else if (kindOf(R.Key_) == RecordKind::Claim) {
     auto Claim = parseClaim(R.Value_);
     if (Claim)
       onClaim(Claims, Name, *Claim, R.Offset_, Now);
@@ -227,6 +249,22 @@
   }
 }
 
+void onLoaded(State &Claims, const std::set<std::string> &Keys,
+              Offset LoadEnd) {
+  // A claim that was stored after the load began may be missing in it.
+  for (const SliceName &Slice : claimedSlices(Claims))
+    if (!Keys.count(makeClaimRemoval(Slice).Key_))
+      onClaimRemoved(Claims, Slice, LoadEnd);
+}
+
+std::set<SliceName> claimedSlices(const State &Claims) {
+  std::set<SliceName> Out;
+  for (const auto &[Slice, View] : Claims.Slices_)
+    if (View.Number_ > 0)
+      Out.insert(Slice);
+  return Out;
+}
+
 void onContact(State &Claims, TimePoint CurrentAt, TimePoint Now) {
   Claims.CurrentAt_ = std::max(Claims.CurrentAt_, CurrentAt);
   if (Claims.LastContactAt_ == TimePoint{} ||
@@ -318,6 +356,15 @@
   return Out;
 }
 
+void removeSlice(State &Claims, const SliceName &Slice) {
+  auto Own = Claims.OwnSlices_.extract(Slice);
+  if (!Own)
+    return;
+  PendingRelease Release{Own.mapped().Number_, Own.mapped().Generation_};
+  Release.Removes_ = true;
+  Claims.Releases_[Slice] = Release;
+}
+
 void forgetSlice(State &Claims, const SliceName &Slice) {
   Claims.OwnSlices_.erase(Slice);
 }
--- a/packages/ownership/src/records.cpp
+++ b/packages/ownership/src/records.cpp
@@ -23,6 +23,10 @@
   return {ClaimPrefix + Slice, pack(R)};
 }
 
+ledger::KeyedRecord makeClaimRemoval(const SliceName &Slice) {
+  return {ClaimPrefix + Slice, ""};
+}
+
 ledger::KeyedRecord makeNode(const std::string &Name, const NodeRecord &R) {
   return {NodePrefix + Name, pack(R)};
 }
--- a/packages/scheduler/detail/api.hpp
+++ b/packages/scheduler/detail/api.hpp
@@ -26,6 +26,11 @@
 /// The registry no longer lists the worker.
 void onWorkerGone(State &State, const WorkerId &Id, TimePoint Now);
 
+/// Gives all workers back, as no task is to start any more: an empty worker
+/// gets no further lease, leaves the roster and is forgotten. onWorker() takes
+/// it up again.
+void releaseWorkers(State &State, TimePoint Now);
+
 /// The reply to a renewal that was sent at \p SentAt; its status is
 /// CallStatus::NoAnswer after a timeout.
 void onRenewReply(State &State, const RenewCall &Call, const RenewReply &Reply,
@@ -48,6 +53,11 @@
 /// Adds every call that is due to \p Out. Call it whenever nextDue() has
 /// passed.
 void tick(State &State, TimePoint Now, std::int64_t NowUnixMs, Outbox &Out);
+/// Whether any job has not ended.
+bool hasOpenJobs(const State &State);
+/// Whether the slice has no job in the store, and nothing left to write or to
+/// wait for.
+bool isEmpty(const State &State);
 /// When tick() is due next if no event occurs before.
 TimePoint nextDue(const State &State, TimePoint Now);
 
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -1,6 +1,8 @@
 #include "scheduler/detail/tasks.hpp"
 #include "scheduler/scheduler.hpp"
 
+#include <algorithm>
+
 namespace pollenvale::scheduler {
 
 State makeState(Options O, const workflow::Catalog &C,
@@ -83,6 +85,17 @@
   reportClosedJobs(State, Out);
 }
 
+bool hasOpenJobs(const State &State) {
+  return std::any_of(
+      State.Jobs_.begin(), State.Jobs_.end(),
+      [](const auto &Row) { return !workflow::isClosed(Row.second.State_); });
+}
+
+bool isEmpty(const State &State) {
+  return State.Jobs_.empty() && !State.PendingWrite_ &&
+         !State.InheritancePending_ && !detail::hasUnwrittenChanges(State);
+}
+
 TimePoint nextDue(const State &State, TimePoint Now) {
   /// Retries and expiring permits need no finer resolution.
   constexpr Milliseconds BusyInterval{20};
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -157,4 +157,11 @@
   It->second.LeftRegistryAt_ = Now;
 }
 
+void releaseWorkers(State &State, TimePoint Now) {
+  for (auto &[Id, W] : State.Workers_) {
+    W.Info_.Draining_ = true;
+    onWorkerGone(State, Id, Now);
+  }
+}
+
 } // namespace pollenvale::scheduler
--- a/packages/workflow/detail/queue.hpp
+++ b/packages/workflow/detail/queue.hpp
@@ -56,5 +56,7 @@
                        std::string_view Path);
 /// Null if no queue has this name.
 const Queue *findQueue(const Catalog &C, std::string_view Name);
+/// Whether the configuration lists the service.
+bool hasService(const Catalog &C, std::string_view Name);
 
 } // namespace pollenvale::workflow
--- a/packages/workflow/src/queue.cpp
+++ b/packages/workflow/src/queue.cpp
@@ -1,5 +1,7 @@
 #include "workflow/workflow.hpp"
 
+#include <algorithm>
+
 namespace pollenvale::workflow {
 
 const Queue *findQueue(const Catalog &C, std::string_view Host,
@@ -19,4 +21,9 @@
   return nullptr;
 }
 
+bool hasService(const Catalog &C, std::string_view Name) {
+  return std::any_of(C.Services_.begin(), C.Services_.end(),
+                     [&](const Service &S) { return S.Name_ == Name; });
+}
+
 } // namespace pollenvale::workflow
--- a/tests/processes/platform.py
+++ b/tests/processes/platform.py
@@ -71,11 +71,13 @@
     def metrics(self, entry):
         return call(self.caller_port(entry) + 1, "GET", "/metrics")[1].decode()
 
-    def publish(self, version, services):
+    def publish(self, version, services, service_of=None):
+        """A version with a route for each service, or with the routes of
+        service_of, which maps the route of one service to another."""
         routes = [
             {"name": f"q-{name}", "host": "caller.test", "pathPrefix": f"/{name}/",
-             "service": name, "maxAttempts": 3, "stretch": 2.0, "sloMs": 1000}
-            for name in services
+             "service": service, "maxAttempts": 3, "stretch": 2.0, "sloMs": 1000}
+            for name, service in (service_of or {name: name for name in services}).items()
         ]
         config = {"version": version, "routes": routes, "services": [{"name": name} for name in services]}
         record = keyed_record("config", json.dumps(config).encode())
@@ -177,6 +179,33 @@
         assert (code, json.loads(body)["state"]) == (200, "queued"), (service, code, body)
 
 
+def keeps_jobs_of_retired_services(cell):
+    """Guards against LOST: entries that start after services have left the
+    configuration own none of them, read none of their jobs, and answer 410 when
+    their routes come back with another service."""
+    kept, retired = SERVICES[0], SERVICES[1:]
+    cell.publish(2, [kept])
+    for entry in range(1, ENTRIES + 1):
+        cell.kill(f"e{entry}")
+    owned = {entry: len(cell.events(entry, "slice-owned")) for entry in range(1, ENTRIES + 1)}
+    for entry in range(1, ENTRIES + 1):
+        cell.start_entry(entry)
+    cell.wait_ready()
+
+    def owners():
+        return {json.loads(line)["slice"] for entry in range(1, ENTRIES + 1)
+                for line in cell.events(entry, "slice-owned")[owned[entry]:]}
+
+    until("every service with an open job has an owner", lambda: owners() >= set(SERVICES))
+    cell.publish(3, [kept], {name: kept for name in SERVICES})
+    for entry in range(1, ENTRIES + 1):
+        until("the routes are back", lambda: state(cell, entry, retired[0], job_id(1))[0] != 404)
+        for number, service in enumerate(SERVICES):
+            code, body = state(cell, entry, service, job_id(number))
+            assert (code, json.loads(body)["state"]) == (200, "queued"), (entry, service, code, body)
+    cell.publish(4, SERVICES)
+
+
 def accepts_soon_after_a_silent_outage(cell):
     """Guards against entries that accept nothing long after the store is back:
     they were started while it was silent, and their first call waited on."""
@@ -210,6 +239,7 @@
     accepts_jobs_of_every_service,
     names_the_reason_while_not_ready,
     remembers_jobs_after_all_entries_were_killed,
+    keeps_jobs_of_retired_services,
     accepts_soon_after_a_silent_outage,
     cancels_once,
 ]
