HTTP client on the event loop: on Asio's sockets, without libcurl

Change: the client on a caller's loop keeps its connections itself (a pool by peer, one request at a time, one wait for input) and leaves the parsing of answers to http_parser. The semantics stay: limits from the time of sending, answers that have arrived count on a late loop, no POST is sent twice, "not sent" only if no byte was written. libcurl remains in the client with its own thread.

--- a/packages/http/detail/client.hpp
+++ b/packages/http/detail/client.hpp
@@ -45,7 +45,7 @@
   std::string Body_;
   /// Header X-Pollenvale-Echo of the answer; empty if absent.
   std::string Echo_;
-  std::string Message_;      ///< libcurl's error text; empty when answered.
+  std::string Message_;      ///< What went wrong; empty when answered.
   unsigned Connections_ = 0; ///< Connections opened for the call.
 };
 
--- a/packages/http/detail/loop.hpp
+++ b/packages/http/detail/loop.hpp
@@ -16,8 +16,9 @@
 
 /// Creates a client on \p Io. submit() must be called on the thread that runs
 /// \p Io. Idle connections are reused, and the peer may have closed its side of
-/// one. libcurl then repeats a GET, which must therefore be idempotent; calls
-/// with other methods end with ClientStatus::Lost.
+/// one. A GET is then sent again, which must therefore be idempotent; calls
+/// with other methods end with ClientStatus::Lost if a byte of them was
+/// written.
 std::unique_ptr<Client> makeClient(asio::io_context &Io);
 
 } // namespace pollenvale::http
--- a/packages/http/detail/transfer.hpp
+++ b/packages/http/detail/transfer.hpp
@@ -1,12 +1,11 @@
 /// \file
-/// One call on a libcurl handle; used by both clients of this package.
+/// One call on a libcurl handle, of the client with its own thread.
 #pragma once
 
 #include "http/detail/client.hpp"
 
 #include <curl/curl.h>
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace pollenvale::http::detail {
@@ -18,14 +17,6 @@
   curl_slist *Headers_ = nullptr;
   unsigned Attempts_ = 0; ///< Times that libcurl has started sending.
   CURL *Easy_ = nullptr;
-  curl_socket_t Socket_ = CURL_SOCKET_BAD; ///< Of the connection, if known.
-  /// When the next limit expires: that of connecting or of the whole call.
-  std::chrono::steady_clock::time_point NextLimitAt_{};
-  std::chrono::steady_clock::time_point
-      DeadlineAt_{}; ///< End of the whole call.
-  std::chrono::steady_clock::time_point SubmittedAt_{};
-  /// When bytes of the answer last arrived; not set before the first.
-  std::chrono::steady_clock::time_point ReceivedAt_{};
 };
 
 /// Initialises libcurl once per process.
@@ -36,9 +27,6 @@
 void setLibraryTimeouts(Transfer &T);
 /// Whether any byte of the request was written to the connection.
 bool isSent(const Transfer &T);
-/// When the connection became ready for the request; empty if no byte of the
-/// request was written.
-std::optional<std::chrono::steady_clock::time_point> sentAt(const Transfer &T);
 /// Sets status, code, message and connection count of \p T.Reply_ after the
 /// transfer has ended with \p Code.
 void fillReply(Transfer &T, CURLcode Code);
--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -1,408 +1,341 @@
-#include "http/detail/transfer.hpp"
+#include "http/detail/connection.hpp"
+#include "http/detail/url.hpp"
 #include "http/http.hpp"
 
-#include <asio.hpp>
-#include <poll.h>
-#include <set>
+#include <map>
 #include <unordered_map>
 
 namespace pollenvale::http {
 
 namespace {
 
-using detail::Transfer;
-
-/// Peers are divided into groups with separate connection caches, because
-/// libcurl scans its whole connection cache after each call.
-constexpr std::size_t GroupCount = 16;
-/// Idle connections that a group keeps open for reuse.
-constexpr long MaxIdleConnections = 150;
-/// Handles that a group keeps for reuse; creating one costs more than resetting
-/// one.
-constexpr std::size_t MaxSpareHandles = 64;
-
-/// Limit on reads (16 KB each) of an answer after its deadline.
-constexpr int MaxOverdueReads = 1'000;
-
-/// Readiness for reading or for writing, in the terms of libcurl and of asio.
-struct Direction {
-  int PollFlag_;   ///< Flag in libcurl's request.
-  int SelectFlag_; ///< Flag reported to libcurl.
-  asio::posix::stream_descriptor::wait_type WaitType_;
-  bool Armed_ = false; ///< An asynchronous wait is pending.
+using detail::Connection;
+using detail::ExchangeEnd;
+using Clock = std::chrono::steady_clock;
+
+/// Idle connections that are kept for reuse.
+constexpr std::size_t MaxIdleConnections = 2'400;
+
+struct PendingCall;
+/// Calls in progress by their next limit.
+using CallsByLimit =
+    std::multimap<Clock::time_point, std::shared_ptr<PendingCall>>;
+
+/// A call in progress.
+struct PendingCall {
+  ClientCall Call_;
+  ClientDone Done_;
+  ClientReply Reply_;
+  detail::Url Url_;
+  std::shared_ptr<Connection> Connection_;
+  bool Reused_ = false; ///< The connection has served other calls.
+  bool Ended_ = false;
+  Clock::time_point DeadlineAt_{}; ///< End of the whole call.
+  CallsByLimit::iterator Position_;
 };
 
-/// Watches one of libcurl's sockets on the event loop.
-struct Watch : std::enable_shared_from_this<Watch> {
-  Watch(asio::io_context &Io, curl_socket_t Socket)
-      : Socket_(Socket), Descriptor_(Io, Socket) {}
-  curl_socket_t Socket_;
-  CURL *Easy_ = nullptr; ///< Handle of the last call on the socket.
-  asio::posix::stream_descriptor Descriptor_;
-  int PollFlags_ = 0; ///< CURL_POLL_IN, CURL_POLL_OUT or both.
-  Direction Read_{CURL_POLL_IN, CURL_CSELECT_IN,
-                  asio::posix::stream_descriptor::wait_read};
-  Direction Write_{CURL_POLL_OUT, CURL_CSELECT_OUT,
-                   asio::posix::stream_descriptor::wait_write};
-};
-
-using Watches = std::unordered_map<curl_socket_t, std::shared_ptr<Watch>>;
+std::string makeRequest(const ClientCall &Call, const detail::Url &Url) {
+  std::string Out;
+  constexpr std::size_t HeadBytes = 256;
+  Out.reserve(HeadBytes + Call.Body_.size());
+  Out += Call.Method_;
+  Out += ' ';
+  Out += Url.Target_;
+  Out += " HTTP/1.1\r\nHost: ";
+  Out += Url.Peer_;
+  Out += "\r\nAccept: */*\r\n";
+  if (Call.Method_ != "GET") {
+    Out += "Content-Type: application/json\r\nContent-Length: ";
+    Out += std::to_string(Call.Body_.size());
+    Out += "\r\n";
+  }
+  for (const std::string &Header : Call.Headers_) {
+    Out += Header;
+    Out += "\r\n";
+  }
+  Out += "\r\n";
+  if (Call.Method_ != "GET")
+    Out += Call.Body_;
+  return Out;
+}
 
-/// Calls to a subset of the peers, with a separate connection cache.
-class Group {
+/// Idle connections by peer.
+class ConnectionPool {
 public:
-  /// \p AllWatches: shared by all groups.
-  Group(asio::io_context &Io, Watches &AllWatches)
-      : Io_(Io), Timer_(Io), DeadlineTimer_(Io), Multi_(curl_multi_init()),
-        Watches_(AllWatches) {
-    curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
-    curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, onSocket);
-    curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, onTimer);
-    curl_multi_setopt(Multi_, CURLMOPT_TIMERDATA, this);
+  /// An idle connection to \p Peer; null if there is none.
+  std::shared_ptr<Connection> take(const std::string &Peer) {
+    auto It = Idle_.find(Peer);
+    while (It != Idle_.end() && !It->second.empty()) {
+      std::shared_ptr<Connection> Newest = std::move(It->second.back());
+      It->second.pop_back();
+      --Count_;
+      if (Newest->isUsable())
+        return Newest;
+      Newest->close();
+    }
+    return nullptr;
   }
 
-  ~Group() {
-    Timer_.cancel();
-    DeadlineTimer_.cancel();
-    for (auto &[Easy, T] : Transfers_) {
-      curl_multi_remove_handle(Multi_, Easy);
-      curl_slist_free_all(T->Headers_);
-      curl_easy_cleanup(Easy);
-    }
-    curl_multi_cleanup(Multi_);
-    for (CURL *Easy : SpareHandles_)
-      curl_easy_cleanup(Easy);
+  /// Keeps a connection for reuse, or closes it if too many are idle.
+  void add(std::shared_ptr<Connection> C) {
+    if (Count_ >= MaxIdleConnections)
+      return C->close();
+    ++Count_;
+    Idle_[C->peer()].push_back(std::move(C));
+    if (Idle_.size() > 2 * MaxIdleConnections)
+      std::erase_if(Idle_, [](const auto &Row) { return Row.second.empty(); });
   }
 
-  Group(const Group &) = delete;
-  Group &operator=(const Group &) = delete;
-
-  void submit(ClientCall Call, ClientDone Done) {
-    auto T = std::make_unique<Transfer>();
-    T->Call_ = std::move(Call);
-    T->Done_ = std::move(Done);
-    T->Easy_ = takeHandle();
-    detail::setOptions(*T);
-    curl_easy_setopt(T->Easy_, CURLOPT_OPENSOCKETFUNCTION, onOpen);
-    curl_easy_setopt(T->Easy_, CURLOPT_OPENSOCKETDATA, this);
-    curl_easy_setopt(T->Easy_, CURLOPT_CLOSESOCKETFUNCTION, onClose);
-    curl_easy_setopt(T->Easy_, CURLOPT_CLOSESOCKETDATA, this);
-    CURL *Easy = T->Easy_;
-    setDeadlines(*T);
-    Transfers_[Easy] = std::move(T);
-    curl_multi_add_handle(Multi_, Easy);
-    // Sends immediately: on a delayed loop, a posted action would reduce the
-    // time that the peer has to answer.
-    runSocketAction(CURL_SOCKET_TIMEOUT, 0);
-    armDeadline();
+  /// Forgets a connection that has ended.
+  void remove(const Connection &C) {
+    auto It = Idle_.find(C.peer());
+    if (It == Idle_.end())
+      return;
+    Count_ -= std::erase_if(It->second,
+                            [&](const auto &Each) { return Each.get() == &C; });
+    if (It->second.empty())
+      Idle_.erase(It);
   }
 
-  void addStats(ClientStats &Total) const {
-    Total.InFlight_ += Transfers_.size();
-    Total.Timeouts_ += Stats_.Timeouts_;
-    Total.NotSent_ += Stats_.NotSent_;
-    Total.Connections_ += Stats_.Connections_;
-    Total.Unread_ += Stats_.Unread_;
+  void closeAll() {
+    for (auto &[Peer, Connections] : Idle_)
+      for (const std::shared_ptr<Connection> &C : Connections)
+        C->close();
+    Idle_.clear();
+    Count_ = 0;
   }
 
 private:
-  using Clock = std::chrono::steady_clock;
-
-  CURL *takeHandle() {
-    if (SpareHandles_.empty())
-      return curl_easy_init();
-    CURL *Easy = SpareHandles_.back();
-    SpareHandles_.pop_back();
-    return Easy;
-  }
+  std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>>
+      Idle_;
+  std::size_t Count_ = 0;
+};
 
-  void recycleHandle(Transfer &T) {
-    curl_multi_remove_handle(Multi_, T.Easy_);
-    curl_slist_free_all(T.Headers_);
-    if (SpareHandles_.size() >= MaxSpareHandles) {
-      curl_easy_cleanup(T.Easy_);
-      return;
-    }
-    curl_easy_reset(T.Easy_);
-    SpareHandles_.push_back(T.Easy_);
-  }
+class LoopClient : public Client {
+public:
+  explicit LoopClient(asio::io_context &Io)
+      : Io_(Io), Resolver_(Io), LimitTimer_(Io) {}
 
-  static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *User,
-                      void *) {
-    auto *Self = static_cast<Group *>(User);
-    auto It = Self->Transfers_.find(Easy);
-    if (It != Self->Transfers_.end() && What != CURL_POLL_REMOVE)
-      It->second->Socket_ = Socket;
-    Self->watch(Easy, Socket, What);
-    return 0;
+  ~LoopClient() override {
+    for (auto &[Limit, C] : Calls_)
+      C->Connection_->close();
+    Pool_.closeAll();
   }
 
-  void watch(CURL *Easy, curl_socket_t Socket, int What) {
-    auto It = Watches_.find(Socket);
-    if (What == CURL_POLL_REMOVE) {
-      if (It != Watches_.end())
-        It->second->PollFlags_ = 0;
-      return;
-    }
-    if (It == Watches_.end())
-      It = Watches_.emplace(Socket, std::make_shared<Watch>(Io_, Socket)).first;
-    It->second->PollFlags_ = What;
-    It->second->Easy_ = Easy;
-    arm(It->second);
+  LoopClient(const LoopClient &) = delete;
+  LoopClient &operator=(const LoopClient &) = delete;
+
+  void submit(ClientCall Call, ClientDone Done) override {
+    auto Url = detail::parseUrl(Call.Url_);
+    if (!Url)
+      return rejectUrl(std::move(Done));
+    auto C = std::make_shared<PendingCall>();
+    C->DeadlineAt_ = Clock::now() + Call.Timeout_;
+    C->Call_ = std::move(Call);
+    C->Done_ = std::move(Done);
+    C->Url_ = std::move(*Url);
+    C->Position_ = Calls_.emplace(C->DeadlineAt_, C);
+    start(*C, C->Call_.Fresh_ ? nullptr : Pool_.take(C->Url_.Peer_));
+    armTimer();
   }
 
-  void arm(const std::shared_ptr<Watch> &W) {
-    for (Direction *D : {&W->Read_, &W->Write_})
-      if ((W->PollFlags_ & D->PollFlag_) && !D->Armed_)
-        arm(W, *D);
+  ClientStats stats() const override {
+    ClientStats Out = Stats_;
+    Out.InFlight_ = Calls_.size();
+    return Out;
   }
 
-  void arm(const std::shared_ptr<Watch> &W, Direction &D) {
-    D.Armed_ = true;
-    W->Descriptor_.async_wait(D.WaitType_, [this, W, &D](std::error_code Err) {
-      D.Armed_ = false;
-      onReady(W, D, Err);
-    });
+private:
+  /// When a call ends that has not been sent.
+  static Clock::time_point unsentLimit(const PendingCall &C) {
+    auto Now = Clock::now();
+    if (C.Call_.ConnectTimeout_.count() > 0)
+      return std::min(C.DeadlineAt_, Now + C.Call_.ConnectTimeout_);
+    if (C.Call_.SilenceTimeout_.count() > 0)
+      return std::min(C.DeadlineAt_, Now + C.Call_.SilenceTimeout_);
+    return C.DeadlineAt_;
   }
 
-  void onReady(const std::shared_ptr<Watch> &W, const Direction &D,
-               std::error_code Err) {
-    if (Err || !W->Descriptor_.is_open() || !(W->PollFlags_ & D.PollFlag_))
-      return;
-    runSocketAction(W->Socket_, D.SelectFlag_);
-    if (W->Descriptor_.is_open())
-      arm(W);
+  /// When a sent call ends unless bytes of the answer arrive first.
+  static Clock::time_point sentLimit(const PendingCall &C,
+                                     Clock::time_point SentAt) {
+    if (C.Call_.SilenceTimeout_.count() == 0)
+      return C.DeadlineAt_;
+    auto HeardAt = std::max(SentAt, C.Connection_->receivedAt());
+    return std::min(C.DeadlineAt_, HeardAt + C.Call_.SilenceTimeout_);
   }
 
-  /// Opens a socket and discards a stale watch on its descriptor: libcurl does
-  /// not call onClose for a socket whose connection attempt failed.
-  static curl_socket_t onOpen(void *User, curlsocktype,
-                              curl_sockaddr *Address) {
-    curl_socket_t Socket = ::socket(
-        Address->family, Address->socktype | SOCK_CLOEXEC, Address->protocol);
-    auto *Self = static_cast<Group *>(User);
-    Self->discardWatch(Socket);
-    ++Self->Stats_.Connections_;
-    return Socket;
+  /// No handler may run within submit().
+  void rejectUrl(ClientDone Done) {
+    ++Stats_.NotSent_;
+    asio::post(Io_, [Done = std::move(Done)] {
+      ClientReply Reply;
+      Reply.Status_ = ClientStatus::NotSent;
+      Reply.Message_ = "the URL is invalid";
+      Done(std::move(Reply));
+    });
   }
 
-  void discardWatch(curl_socket_t Socket) {
-    auto It = Watches_.find(Socket);
-    if (It == Watches_.end())
-      return;
-    It->second->PollFlags_ = 0;
-    It->second->Descriptor_.release();
-    Watches_.erase(It);
+  /// Sends the call on \p Idle or, if it is null, on a new connection.
+  void start(PendingCall &C, std::shared_ptr<Connection> Idle) {
+    C.Reused_ = Idle != nullptr;
+    C.Connection_ = std::move(Idle);
+    if (!C.Reused_)
+      openConnection(C);
+    C.Connection_->send(makeRequest(C.Call_, C.Url_), C.Reply_,
+                        [this, &C](ExchangeEnd End) { onEnd(C, End); });
+    auto SentAt = C.Connection_->sentAt();
+    setLimit(C, SentAt ? sentLimit(C, *SentAt) : unsentLimit(C));
   }
 
-  static int onClose(void *User, curl_socket_t Socket) {
-    auto *Self = static_cast<Group *>(User);
-    char Byte;
-    if (::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
-      ++Self->Stats_.Unread_;
-    auto It = Self->Watches_.find(Socket);
-    if (It == Self->Watches_.end())
-      return ::close(Socket);
-    std::error_code Ignored;
-    It->second->Descriptor_.close(Ignored);
-    Self->Watches_.erase(It);
-    return 0;
+  void openConnection(PendingCall &C) {
+    ++C.Reply_.Connections_;
+    ++Stats_.Connections_;
+    auto New = std::make_shared<Connection>(
+        Io_, C.Url_.Peer_,
+        [this](const Connection &Ended) { Pool_.remove(Ended); });
+    C.Connection_ = New;
+    std::error_code Err;
+    auto [Host, Port] = detail::splitPeer(C.Url_.Peer_);
+    auto Address = asio::ip::make_address(Host, Err);
+    if (!Err)
+      return New->open(
+          {Address, std::uint16_t(std::strtoul(Port.c_str(), nullptr, 10))});
+    Resolver_.async_resolve(
+        Host, Port,
+        [New](std::error_code Failed,
+              const asio::ip::tcp::resolver::results_type &Found) {
+          // Without an address, the connection fails at once.
+          if (New->isOpen())
+            New->open(Failed || Found.empty() ? asio::ip::tcp::endpoint()
+                                              : Found.begin()->endpoint());
+        });
   }
 
-  static int onTimer(CURLM *, long TimeoutMs, void *User) {
-    auto *Self = static_cast<Group *>(User);
-    if (TimeoutMs <= 0)
-      Self->Timer_.cancel();
-    if (TimeoutMs == 0)
-      Self->postSocketAction();
-    if (TimeoutMs <= 0)
-      return 0;
-    Self->Timer_.expires_after(std::chrono::milliseconds(TimeoutMs));
-    Self->Timer_.async_wait([Self](std::error_code Err) {
-      if (!Err)
-        Self->runSocketAction(CURL_SOCKET_TIMEOUT, 0);
-    });
-    return 0;
+  void onEnd(PendingCall &C, ExchangeEnd End) {
+    bool Retry = C.Reused_ && (End == ExchangeEnd::NothingSent ||
+                               (End == ExchangeEnd::Lost && mayRepeat(C)));
+    if (Retry) {
+      C.Reply_ = {};
+      return start(C, nullptr);
+    }
+    if (End == ExchangeEnd::Answered && C.Connection_->isOpen() &&
+        !C.Call_.Fresh_)
+      Pool_.add(C.Connection_);
+    finish(C, statusOf(End));
   }
 
-  /// Posts one socket action for all calls submitted in one iteration of the
-  /// loop.
-  void postSocketAction() {
-    if (SocketActionPosted_)
-      return;
-    SocketActionPosted_ = true;
-    asio::post(Io_, [this, Alive = std::weak_ptr<bool>(Alive_)] {
-      if (Alive.expired())
-        return;
-      SocketActionPosted_ = false;
-      runSocketAction(CURL_SOCKET_TIMEOUT, 0);
-    });
+  /// Whether the request may be sent again although it may have been executed.
+  static bool mayRepeat(const PendingCall &C) {
+    return C.Call_.Method_ == "GET" &&
+           C.Connection_->receivedAt() == Clock::time_point{};
   }
 
-  void runSocketAction(curl_socket_t Socket, int Event) {
-    int Active = 0;
-    curl_multi_socket_action(Multi_, Socket, Event, &Active);
-    finishCompleted();
+  static ClientStatus statusOf(ExchangeEnd End) {
+    switch (End) {
+    case ExchangeEnd::Answered:
+      return ClientStatus::Answered;
+    case ExchangeEnd::NotConnected:
+    case ExchangeEnd::NothingSent:
+      return ClientStatus::NotSent;
+    case ExchangeEnd::Truncated:
+      return ClientStatus::Truncated;
+    case ExchangeEnd::Lost:
+      break;
+    }
+    return ClientStatus::Lost;
   }
 
-  // libcurl's timeouts are not used: it checks the clock before it reads, so a
-  // delayed process would lose answers that have already arrived.
+  static const char *messageOf(ClientStatus Status) {
+    switch (Status) {
+    case ClientStatus::Answered:
+      return "";
+    case ClientStatus::NotSent:
+      return "no connection";
+    case ClientStatus::Lost:
+      return "the connection broke before the answer";
+    case ClientStatus::Truncated:
+      return "the connection broke within the answer";
+    case ClientStatus::Timeout:
+      return "no answer in time";
+    }
+    return "";
+  }
 
-  void setDeadlines(Transfer &T) {
-    auto Now = Clock::now();
-    T.SubmittedAt_ = Now;
-    T.DeadlineAt_ = T.NextLimitAt_ = Now + T.Call_.Timeout_;
-    if (T.Call_.ConnectTimeout_.count() > 0)
-      T.NextLimitAt_ = std::min(T.DeadlineAt_, Now + T.Call_.ConnectTimeout_);
-    else if (T.Call_.SilenceTimeout_.count() > 0)
-      T.NextLimitAt_ = std::min(T.DeadlineAt_, Now + T.Call_.SilenceTimeout_);
-    Deadlines_.emplace(T.NextLimitAt_, T.Easy_);
+  void finish(PendingCall &C, ClientStatus Status) {
+    auto Node = Calls_.extract(C.Position_);
+    C.Ended_ = true;
+    C.Reply_.Status_ = Status;
+    C.Reply_.Message_ = messageOf(Status);
+    Stats_.Timeouts_ += Status == ClientStatus::Timeout;
+    Stats_.NotSent_ += Status == ClientStatus::NotSent;
+    C.Done_(std::move(C.Reply_));
   }
 
-  /// When a sent call ends unless bytes of the answer arrive first.
-  static Clock::time_point limitOf(const Transfer &T,
-                                   Clock::time_point SentAt) {
-    if (T.Call_.SilenceTimeout_.count() == 0)
-      return T.DeadlineAt_;
-    return std::min(T.DeadlineAt_,
-                    std::max(SentAt, T.ReceivedAt_) + T.Call_.SilenceTimeout_);
+  void setLimit(PendingCall &C, Clock::time_point At) {
+    if (C.Position_->first == At)
+      return;
+    auto Node = Calls_.extract(C.Position_);
+    Node.key() = At;
+    C.Position_ = Calls_.insert(std::move(Node));
   }
 
-  void armDeadline() {
-    if (Deadlines_.empty() || Deadlines_.begin()->first >= DeadlineArmedFor_)
+  void armTimer() {
+    if (Calls_.empty() || Calls_.begin()->first >= ArmedFor_)
       return;
-    DeadlineArmedFor_ = Deadlines_.begin()->first;
-    DeadlineTimer_.expires_at(DeadlineArmedFor_);
-    DeadlineTimer_.async_wait([this](std::error_code Err) {
-      if (!Err)
-        checkDeadlines();
-    });
+    ArmedFor_ = Calls_.begin()->first;
+    LimitTimer_.expires_at(ArmedFor_);
+    LimitTimer_.async_wait(
+        [this, Alive = std::weak_ptr<bool>(Alive_)](std::error_code Err) {
+          if (!Err && !Alive.expired())
+            checkLimits();
+        });
   }
 
-  void checkDeadlines() {
-    DeadlineArmedFor_ = Clock::time_point::max();
+  void checkLimits() {
+    ArmedFor_ = Clock::time_point::max();
     auto Now = Clock::now();
-    while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now)
-      expire(Deadlines_.begin()->second);
-    armDeadline();
+    while (!Calls_.empty() && Calls_.begin()->first <= Now)
+      checkLimit(*std::shared_ptr(Calls_.begin()->second));
+    armTimer();
   }
 
   /// Ends the call with a timeout unless data that has already arrived
   /// completes it or shows that its limit has not expired yet.
-  void expire(CURL *Easy) {
-    auto It = Transfers_.find(Easy);
+  void checkLimit(PendingCall &C) {
+    std::shared_ptr<Connection> Used = C.Connection_;
     // A request that is still unsent at its deadline is not sent any more.
-    if (It != Transfers_.end() &&
-        (detail::isSent(*It->second) || Clock::now() < It->second->DeadlineAt_))
-      processPendingEvents(Easy);
-    It = Transfers_.find(Easy);
-    if (It == Transfers_.end())
+    if (Used->sentAt() || Clock::now() < C.DeadlineAt_)
+      Used->processPending();
+    bool BeganAnew = C.Connection_ != Used;
+    if (C.Ended_ || BeganAnew)
       return;
-    std::unique_ptr<Transfer> &T = It->second;
-    Deadlines_.erase({T->NextLimitAt_, Easy});
-    auto SentAt = detail::sentAt(*T);
-    if (SentAt)
-      T->DeadlineAt_ = *SentAt + T->Call_.Timeout_;
-    if (SentAt && limitOf(*T, *SentAt) > Clock::now()) {
-      T->NextLimitAt_ = limitOf(*T, *SentAt);
-      Deadlines_.emplace(T->NextLimitAt_, Easy);
-      return;
-    }
-    std::unique_ptr<Transfer> Expired = std::move(T);
-    Transfers_.erase(It);
-    detail::fillReply(*Expired, CURLE_OPERATION_TIMEDOUT);
-    curl_socket_t Socket = Expired->Socket_;
-    finish(std::move(Expired));
-    auto Watched = Watches_.find(Socket);
-    if (Watched != Watches_.end() && Watched->second->Easy_ == Easy)
-      discardWatch(Socket);
-  }
-
-  /// Lets libcurl process the events pending on the call's socket.
-  void processPendingEvents(CURL *Easy) {
-    for (int I = 0; I < MaxOverdueReads; ++I) {
-      auto It = Transfers_.find(Easy);
-      if (It == Transfers_.end() || It->second->Socket_ == CURL_SOCKET_BAD)
-        return;
-      bool Sent = detail::sentAt(*It->second).has_value();
-      pollfd P{It->second->Socket_, short(Sent ? POLLIN : POLLOUT), 0};
-      if (::poll(&P, 1, 0) <= 0)
-        return;
-      runSocketAction(P.fd, Sent ? CURL_CSELECT_IN : CURL_CSELECT_OUT);
-    }
-  }
-
-  void finishCompleted() {
-    for (auto &T : detail::takeFinished(Multi_, Transfers_)) {
-      Deadlines_.erase({T->NextLimitAt_, T->Easy_});
-      finish(std::move(T));
+    auto SentAt = Used->sentAt();
+    if (SentAt) {
+      C.DeadlineAt_ = *SentAt + C.Call_.Timeout_;
+      auto Limit = sentLimit(C, *SentAt);
+      if (Limit > Clock::now())
+        return setLimit(C, Limit);
     }
-  }
-
-  void finish(std::unique_ptr<Transfer> T) {
-    recycleHandle(*T);
-    Stats_.Timeouts_ += T->Reply_.Status_ == ClientStatus::Timeout;
-    Stats_.NotSent_ += T->Reply_.Status_ == ClientStatus::NotSent;
-    // The callback may call submit(), so it must not run inside a callback of
-    // libcurl.
-    asio::post(Io_, [Shared = std::shared_ptr<Transfer>(std::move(T))] {
-      Shared->Done_(std::move(Shared->Reply_));
-    });
+    Stats_.Unread_ += Used->hasUnreadBytes();
+    Used->close();
+    finish(C, SentAt ? ClientStatus::Timeout : ClientStatus::NotSent);
   }
 
   asio::io_context &Io_;
-  asio::steady_timer Timer_; ///< Set by libcurl.
-  asio::steady_timer DeadlineTimer_;
-  Clock::time_point DeadlineArmedFor_ = Clock::time_point::max();
-  CURLM *Multi_;
-  Watches &Watches_;
-  std::unordered_map<CURL *, std::unique_ptr<Transfer>> Transfers_;
-  /// Next limit of each call in progress.
-  std::set<std::pair<Clock::time_point, CURL *>> Deadlines_;
-  std::vector<CURL *> SpareHandles_;
+  asio::ip::tcp::resolver Resolver_;
+  asio::steady_timer LimitTimer_;
+  Clock::time_point ArmedFor_ = Clock::time_point::max();
+  CallsByLimit Calls_;
+  ConnectionPool Pool_;
   ClientStats Stats_;
-  bool SocketActionPosted_ = false;
-  /// Expires with the group, so that posted handlers can detect that.
+  /// Expires with the client, so that posted handlers can detect that.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
-/// Distributes calls to groups by peer.
-class LoopClient : public Client {
-public:
-  explicit LoopClient(asio::io_context &Io) {
-    for (std::size_t I = 0; I < GroupCount; ++I)
-      Groups_.push_back(std::make_unique<Group>(Io, Watches_));
-  }
-
-  void submit(ClientCall Call, ClientDone Done) override {
-    Group &G = *Groups_[std::hash<std::string_view>()(peerOf(Call.Url_)) %
-                        Groups_.size()];
-    G.submit(std::move(Call), std::move(Done));
-  }
-
-  ClientStats stats() const override {
-    ClientStats Total;
-    for (const auto &G : Groups_)
-      G->addStats(Total);
-    return Total;
-  }
-
-private:
-  /// "http://HOST:PORT" of \p Url.
-  static std::string_view peerOf(std::string_view Url) {
-    constexpr std::size_t SchemeBytes = 8;
-    return Url.substr(0, Url.find_first_of("/?", SchemeBytes));
-  }
-
-  Watches Watches_;
-  std::vector<std::unique_ptr<Group>> Groups_;
-};
-
 } // namespace
 
 std::unique_ptr<Client> makeClient(asio::io_context &Io) {
-  detail::initializeCurl();
   return std::make_unique<LoopClient>(Io);
 }
 
--- a/packages/http/src/transfer.cpp
+++ b/packages/http/src/transfer.cpp
@@ -9,7 +9,6 @@
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *User) {
   auto *T = static_cast<Transfer *>(User);
-  T->ReceivedAt_ = std::chrono::steady_clock::now();
   T->Reply_.Body_.append(Data, Size * Count);
   return Size * Count;
 }
@@ -17,7 +16,6 @@
 std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                      void *User) {
   static const std::string Name = "x-pollenvale-echo:";
-  static_cast<Transfer *>(User)->ReceivedAt_ = std::chrono::steady_clock::now();
   std::size_t Length = Size * Count;
   if (Length <= Name.size() ||
       strncasecmp(Data, Name.c_str(), Name.size()) != 0)
@@ -108,14 +106,6 @@
   return Written > 0;
 }
 
-std::optional<std::chrono::steady_clock::time_point> sentAt(const Transfer &T) {
-  if (!isSent(T))
-    return std::nullopt;
-  curl_off_t Microseconds = 0;
-  curl_easy_getinfo(T.Easy_, CURLINFO_PRETRANSFER_TIME_T, &Microseconds);
-  return T.SubmittedAt_ + std::chrono::microseconds(Microseconds);
-}
-
 void fillReply(Transfer &T, CURLcode Code) {
   long Status = 0;
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
--- a/packages/http/tests/unit-broken-connection.cpp
+++ b/packages/http/tests/unit-broken-connection.cpp
@@ -91,7 +91,7 @@
 } // namespace
 
 // Guards against TWICE and UNASKED: a request that may have been executed is
-// reported as refused, because libcurl repeated it and the repetition was
+// reported as refused, because the client repeated it and the repetition was
 // refused.
 Test(broken_connection, a_refused_repetition_does_not_hide_a_lost_answer) {
   asio::io_context Io;
@@ -115,3 +115,18 @@
             int(R.Status_), R.Message_.c_str());
   cr_assert_eq(P.Requests_, 2);
 }
+
+// Guards against the same failure of the client with its own thread.
+Test(broken_connection, a_client_with_a_thread_repeats_no_post) {
+  auto Client = http::makeClient();
+  BreakingPeer P(true);
+  http::ClientCall Call;
+  Call.Url_ = P.url();
+  Call.Body_ = "body";
+  cr_assert(http::callAndWait(*Client, Call).Status_ ==
+            http::ClientStatus::Answered);
+  http::ClientReply R = http::callAndWait(*Client, Call);
+  cr_assert(R.Status_ == http::ClientStatus::Lost, "status %d, code %d",
+            int(R.Status_), R.Code_);
+  cr_assert_eq(P.Requests_, 2);
+}
--- a/packages/http/tests/unit-loop-client.cpp
+++ b/packages/http/tests/unit-loop-client.cpp
@@ -72,9 +72,8 @@
 
 } // namespace
 
-// Guards against stale watches: libcurl closes the socket of a failed
-// connection attempt without a callback, and a later connection reuses its
-// descriptor.
+// Guards against state of a failed connection attempt that outlives its socket:
+// a later connection reuses the descriptor.
 Test(loop_client, connections_that_never_opened_leave_later_ones_alone) {
   asio::io_context Io;
   std::uint16_t Port = freePort();
