--- a/packages/delegation/detail/pool.hpp
+++ b/packages/delegation/detail/pool.hpp
@@ -31,11 +31,16 @@
   TimePoint ExpiresAt_{}; ///< Timeout of the reply.
 };
 
+/// A peer that may send starts.
+struct Peer {
+  std::uint64_t Hash_ = 0;   ///< Of its address.
+  TimePoint AvoidedUntil_{}; ///< It is not used before.
+};
+
 /// State of the delegation of one owner.
 struct Pool {
   Options Options_;
-  /// Addresses of the peers, and until when each of them is not used.
-  std::map<std::string, TimePoint> Peers_;
+  std::map<std::string, Peer> Peers_; ///< By address.
   std::map<CallId, Pending> InFlight_;
   std::size_t DirectBytes_ = 0; ///< Payload of unanswered direct starts.
   /// Differs between processes, so that a late reply to a start of an earlier
--- a/packages/delegation/src/pool.cpp
+++ b/packages/delegation/src/pool.cpp
@@ -9,22 +9,23 @@
   std::erase_if(P.Peers_,
                 [&](const auto &Peer) { return !Listed.count(Peer.first); });
   for (const std::string &A : Addresses)
-    P.Peers_.try_emplace(A);
+    P.Peers_.try_emplace(A, Peer{stableHash(A)});
 }
 
 std::string choosePeer(const Pool &P, const StartCall &Call, TimePoint Now) {
   if (P.DirectBytes_ + Call.Payload_.size() <= P.Options_.MaxDirectBytes_)
     return {};
-  std::string Best;
+  const std::string *Best = nullptr;
   std::uint64_t BestRank = 0;
-  for (const auto &[Address, AvoidUntil] : P.Peers_) {
-    std::uint64_t Rank = stableHash(Call.Target_.Worker_ + " " + Address);
-    if (Now < AvoidUntil || (!Best.empty() && Rank <= BestRank))
+  std::uint64_t WorkerHash = stableHash(Call.Target_.Worker_);
+  for (const auto &[Address, Peer] : P.Peers_) {
+    std::uint64_t Rank = Random{WorkerHash ^ Peer.Hash_}.next();
+    if (Now < Peer.AvoidedUntil_ || (Best && Rank <= BestRank))
       continue;
-    Best = Address;
+    Best = &Address;
     BestRank = Rank;
   }
-  return Best;
+  return Best ? *Best : std::string();
 }
 
 void beginDirectStart(Pool &P, const StartCall &Call) {
@@ -61,7 +62,7 @@
     }
     auto Peer = P.Peers_.find(It->second.Peer_);
     if (Peer != P.Peers_.end())
-      Peer->second = Now + P.Options_.PeerAvoidTime_;
+      Peer->second.AvoidedUntil_ = Now + P.Options_.PeerAvoidTime_;
     Out.emplace(It->first, std::move(It->second));
     It = P.InFlight_.erase(It);
   }
--- a/packages/delegation/tests/unit-delegation.cpp
+++ b/packages/delegation/tests/unit-delegation.cpp
@@ -143,3 +143,17 @@
   Unreadable.Task_ = "no task";
   cr_assert_not(toStartCall(Unreadable, "x"));
 }
+
+// Guards against a few peers that send most starts: the ranks of a worker's
+// peers are made of hashes of both.
+Test(delegation, workers_are_spread_over_the_peers) {
+  constexpr int Peers = 100, Workers = 5'000;
+  Pool P = poolOf(Peers);
+  P.Options_.MaxDirectBytes_ = 0;
+  std::map<std::string, int> Sent;
+  for (int I = 0; I < Workers; ++I)
+    ++Sent[choosePeer(P, start(I), T0)];
+  cr_assert_eq(Sent.size(), std::size_t(Peers));
+  for (const auto &[Peer, Count] : Sent)
+    cr_assert_lt(Count, 2 * Workers / Peers);
+}
