--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -28,11 +28,6 @@
 
 constexpr char ClaimTopic[] = "keyed.claims";
 constexpr Milliseconds TickInterval{25};
-/// Replies that arrive within this time share a turn: a turn looks at all
-/// workers, so that the time grows with their number.
-constexpr Milliseconds MinTurnSpacing{2};
-constexpr Milliseconds MaxTurnSpacing{5};
-constexpr std::chrono::microseconds TurnSpacingPerWorker{6};
 /// TCP resends a lost SYN only after a second; a new connection is faster.
 constexpr Milliseconds ConnectTimeout{400};
 /// Least time between two reads of a partition in which this entry owns no
@@ -47,12 +42,6 @@
 /// Added to the time in which callers may ask for the state of a closed job.
 constexpr Milliseconds ClosedJobsMargin{60'000};
 
-Milliseconds turnSpacing(std::size_t Workers) {
-  auto ForWorkers = std::chrono::duration_cast<Milliseconds>(
-      TurnSpacingPerWorker * std::int64_t(Workers));
-  return std::clamp(ForWorkers, MinTurnSpacing, MaxTurnSpacing);
-}
-
 class Entry {
 public:
   explicit Entry(platform::Boot B)
@@ -430,7 +419,7 @@
   OwnedSlices Slices_{
       [this](const ownership::SliceName &Slice) { return contextFor(Slice); }};
 
-  TurnTimer DueWork_{Io_, MinTurnSpacing, [this] { runDueWork(); }};
+  TurnTimer DueWork_{Io_, turnSpacing(0), [this] { runDueWork(); }};
   bool Stopping_ = false;
   TimePoint StoppingSince_{};
 };
--- a/apps/pollenvale/fleet/turn_timer.hpp
+++ b/apps/pollenvale/fleet/turn_timer.hpp
@@ -4,11 +4,23 @@
 
 #include "fleet/clock.hpp"
 
+#include <algorithm>
 #include <asio.hpp>
 #include <functional>
 
 namespace pollenvale::fleet {
 
+/// How far apart the turns of an owner of \p Workers workers are: replies that
+/// arrive meanwhile share a turn, which looks at many of the workers.
+inline Milliseconds turnSpacing(std::size_t Workers) {
+  constexpr Milliseconds Min{2};
+  constexpr Milliseconds Max{5};
+  constexpr std::chrono::microseconds PerWorker{6};
+  auto ForWorkers = std::chrono::duration_cast<Milliseconds>(
+      PerWorker * std::int64_t(Workers));
+  return std::clamp(ForWorkers, Min, Max);
+}
+
 /// Requests that follow each other closely share one run on the event loop.
 class TurnTimer {
 public:
