Crash line: a process that a signal ends says where it was

A handler that is there already, as a sanitizer's, is left alone. The process ends by the signal as before.

--- a/packages/observe/observe.hpp
+++ b/packages/observe/observe.hpp
@@ -17,7 +17,8 @@
 
 /// Sets up logging to standard output. \p Node is written in every line.
 /// \p LevelName is the lowest level written: debug, info, warning or error; the
-/// level stays unchanged (initially info) for any other text.
+/// level stays unchanged (initially info) for any other text. Crashes are
+/// reported, too; see reportCrashes().
 void startLogging(const std::string &Node, const std::string &LevelName);
 /// Whether lines of this level are written.
 bool isLogged(Level L);
@@ -26,6 +27,13 @@
 void log(Level L, const std::string &Event,
          const nlohmann::json &Fields = nlohmann::json::object());
 
+/// Has a signal that ends the process (SIGSEGV, SIGBUS, SIGILL, SIGFPE or
+/// SIGABRT) write one line to \p File first: event `crashed` with \p Node, the
+/// signal, the address of the fault and the frames of the thread, innermost
+/// first, relative to the start of the program. The process still ends by the
+/// signal. A signal that has a handler already, as a sanitizer's, keeps it.
+void reportCrashes(const std::string &Node, int File);
+
 /// Limits the rate of log lines for each event.
 class LineLimit {
 public:
--- a/packages/observe/src/log.cpp
+++ b/packages/observe/src/log.cpp
@@ -1,6 +1,7 @@
 #include "observe/observe.hpp"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -36,6 +37,7 @@
   Conf.setGlobally(el::ConfigurationType::ToFile, "false");
   Conf.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
   el::Loggers::reconfigureAllLoggers(Conf);
+  reportCrashes(Node, STDOUT_FILENO);
 }
 
 bool isLogged(Level L) { return L >= state().MinLevel_; }
