--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -84,3 +84,48 @@
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; },
                        Milliseconds(6'000)));
 }
+
+namespace {
+
+/// How long after the last failure a job may still have nothing running.
+constexpr Milliseconds FinishTime{14'000};
+
+/// A cell whose queue needs permits, with an owner at address "self".
+struct PoolCell : AskingCell {
+  explicit PoolCell(double DecisionMs) {
+    Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{DecisionMs, 1, 2'000};
+    scheduler::onCatalog(owner().State_, Catalog_);
+    Policy_ = advice::makePool("self");
+  }
+
+  /// Adds peers of which none answers.
+  void addSilentPeers(const std::vector<std::string> &Addresses) {
+    advice::setPeers(*Policy_, Addresses);
+    SilentEntries_ = {Addresses.begin(), Addresses.end()};
+  }
+
+  bool startsWithin(const JobId &Job, Milliseconds Limit) {
+    return runUntil([&] { return state(Job) != JobState::Queued; }, Limit);
+  }
+};
+
+} // namespace
+
+// Guards against LOST: by the time the last of several silent peers had been
+// tried the first was no longer avoided, so the owner never made the call
+// itself.
+Test(permits, a_step_gets_advice_although_no_peer_answers) {
+  PoolCell C(20);
+  C.addSilentPeers({"a", "b", "c", "d", "e"});
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.startsWithin("j1", FinishTime));
+}
+
+// Guards against LOST: an owner that is reserved for short calls gave every
+// long call to peers, even if none of them answered.
+Test(permits, a_long_call_is_made_by_a_reserved_owner_if_no_peer_answers) {
+  PoolCell C(400);
+  C.addSilentPeers({"t", "u"});
+  C.submit("j1", plainJob({plainStep(1)}));
+  cr_assert(C.startsWithin("j1", FinishTime));
+}
--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -202,3 +202,75 @@
   cr_assert_not(GoesFirst(Milliseconds(1'000)), "its priority is lower");
   cr_assert(GoesFirst(Milliseconds(3'000)));
 }
+
+namespace {
+
+constexpr Resources WorkerSize{8'000, 8'000, 0};
+/// How long after the last failure a job may still have nothing running.
+constexpr Milliseconds FinishTime{14'000};
+
+workflow::StepSpec labelledService(std::int64_t Cpu) {
+  workflow::StepSpec S = plainStep(1);
+  S.Size_.Cpu_ = Cpu;
+  S.LongRunning_ = true;
+  S.RequiredLabel_ = "kind";
+  return S;
+}
+
+/// Three workers; only "a" has the label, and its first tasks fill it.
+struct LabelledWorker : FleetCell {
+  LabelledWorker() : FleetCell(std::vector<WorkerId>{"a", "b", "c"}) {
+    worker("a").Info_.Labels_ = {"kind"};
+    takeOver();
+  }
+
+  /// Fills the labelled worker for \p Time with tasks of \p Cpu in all.
+  void fill(std::int64_t Cpu, Milliseconds Time) {
+    FateOf_ = [Time](const TaskId &Id, std::uint32_t) {
+      return Fate{Id.Step_.Job_ == "filler" ? Time : Milliseconds(90'000)};
+    };
+    workflow::StepSpec Filler = labelledService(Cpu);
+    Filler.LongRunning_ = false;
+    submit("filler", plainJob({Filler}));
+    run(Milliseconds(500));
+  }
+
+  bool runs(const JobId &Job) const {
+    return !whereIs({{Job, 0, 0}, 0}).empty();
+  }
+};
+
+} // namespace
+
+// Guards against LOST: two services that waited for the same worker reserved
+// all of it each, so that neither started once it was free.
+Test(services, two_that_wait_for_one_worker_both_start) {
+  LabelledWorker C;
+  C.fill(WorkerSize.Cpu_, Milliseconds(3'000));
+  C.submit("s1", plainJob({labelledService(1'000)}));
+  C.submit("s2", plainJob({labelledService(1'000)}));
+  C.run(Milliseconds(3'000));
+  cr_assert(
+      C.runUntil([&] { return C.runs("s1") && C.runs("s2"); }, FinishTime));
+  cr_assert(C.Broken_.empty());
+}
+
+// Guards against LOST: a service that could not fit on a worker beside the
+// services there reserved it all the same, so that nothing else started there.
+Test(services,
+     one_without_room_beside_others_keeps_no_worker_from_smaller_tasks) {
+  LabelledWorker C;
+  C.setRunTime(Milliseconds(90'000));
+  C.submit("s1", plainJob({labelledService(2'000)}));
+  C.run(Milliseconds(500));
+  C.submit("s2", plainJob({labelledService(7'000)}));
+  C.run(Milliseconds(500));
+  C.submit("s3", plainJob({labelledService(1'000)}));
+  workflow::StepSpec Short = labelledService(1'000);
+  Short.LongRunning_ = false;
+  C.submit("j1", plainJob({Short}));
+  cr_assert(
+      C.runUntil([&] { return C.runs("s3") && C.runs("j1"); }, FinishTime));
+  cr_assert_not(C.runs("s2"));
+  cr_assert(C.Broken_.empty());
+}
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -35,6 +35,7 @@
 struct FakeWorker {
   scheduler::WorkerInfo Info_;
   bool Alive_ = true;
+  bool Listed_ = true;          ///< The registry lists it.
   bool Cut_ = false;            ///< Calls are lost; its tasks continue to run.
   Milliseconds AnswerDelay_{0}; ///< Added to the network delay of answers.
   Milliseconds ClockShift_{0};
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -105,10 +105,21 @@
 }
 
 void FleetCell::leave(const WorkerId &Id) {
+  crash(Id, Milliseconds(0));
+  dropFromRegistry(Id);
+}
+
+void FleetCell::crash(const WorkerId &Id, Milliseconds RegistryDelay) {
   FakeWorker &W = Workers_.at(Id);
   W.Alive_ = false;
   W.Runs_.clear();
   forgetReportedEnds(Id);
+  if (RegistryDelay.count() > 0)
+    at(Now_ + RegistryDelay, [this, Id] { dropFromRegistry(Id); });
+}
+
+void FleetCell::dropFromRegistry(const WorkerId &Id) {
+  Workers_.at(Id).Listed_ = false;
   for (auto &O : Owners_)
     scheduler::onWorkerGone(O->State_, Id, Now_);
 }
@@ -136,7 +147,7 @@
   O->State_ =
       scheduler::makeState(Opt, Catalog_, O->StoreReplica_.Rosters_["s"]);
   for (const auto &[Id, W] : Workers_)
-    if (W.Alive_)
+    if (W.Listed_)
       scheduler::onWorker(O->State_, W.Info_, Now_);
   for (const auto &[Id, Row] : O->StoreReplica_.Jobs_)
     scheduler::onJob(O->State_, Id, Row, true, Now_, 0);
@@ -247,7 +258,7 @@
   }
   scheduler::tick(O.State_, Now_, 0, Out);
   perform(O, Out);
-  if (Policy_)
+  if (O.Policy_)
     runPolicyPool(O);
 }
 
@@ -373,15 +384,17 @@
 scheduler::AdviceReply FleetCell::advise(const scheduler::AdviceCall &C) const {
   scheduler::AdviceReply Reply{true, {}, Milliseconds(2'000)};
   for (const WorkerId &W : C.Workers_)
-    if (Allows_(W))
+    if (allows(C.Step_, W))
       Reply.Rows_.push_back({W, "permit-" + W});
   return Reply;
 }
 
 void FleetCell::send(Owner &O, const scheduler::AdviceCall &C) {
   ++AdviceCalls_;
-  if (Policy_)
-    return advice::enqueue(*Policy_, C, Now_);
+  if (!O.Policy_)
+    O.Policy_ = Policy_;
+  if (O.Policy_)
+    return advice::enqueue(*O.Policy_, C, Now_);
   scheduler::AdviceReply Reply = advise(C);
   at(Now_ + Milliseconds(20), [=, this, &O] {
     if (!isDown(O))
@@ -390,13 +403,18 @@
 }
 
 void FleetCell::runPolicyPool(Owner &O) {
-  for (const advice::Expired &X : advice::expire(*Policy_, Now_))
+  for (const advice::Expired &X : advice::expire(*O.Policy_, Now_))
     scheduler::onAdviceReply(O.State_, X.Call_, {}, Now_);
-  for (const advice::Dispatch &D : advice::dispatch(*Policy_, Now_))
+  for (const advice::Dispatch &D : advice::dispatch(*O.Policy_, Now_)) {
+    if (SilentEntries_.count(D.Entry_))
+      continue;
     at(Now_ + D.Call_.Expected_, [=, this, &O] {
-      if (auto Call = advice::finish(*Policy_, D.Id_, true, Now_))
+      if (isDown(O))
+        return;
+      if (auto Call = advice::finish(*O.Policy_, D.Id_, true, Now_))
         scheduler::onAdviceReply(O.State_, *Call, advise(*Call), Now_);
     });
+  }
 }
 
 void FleetCell::send(Owner &O, const scheduler::WriteCall &C) {
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -29,6 +29,8 @@
   TimePoint TurnDueAt_{};
   TimePoint StoreContactAt_{};
   std::optional<scheduler::WriteCall> RepeatedWrite_;
+  /// Its calls to the policy; a copy of FleetCell::Policy_, if that is set.
+  std::optional<advice::Pool> Policy_;
 };
 
 /// Probabilities of call failures, 0 to 1.
@@ -83,6 +85,9 @@
   void drain(const WorkerId &Id);
   /// Ends the worker and all its runs, and removes it from the registry.
   void leave(const WorkerId &Id);
+  /// Ends the worker and all its runs. The registry drops it \p RegistryDelay
+  /// later.
+  void crash(const WorkerId &Id, Milliseconds RegistryDelay);
   /// Makes every run succeed after \p Length.
   void setRunTime(Milliseconds Length) {
     FateOf_ = [Length](const TaskId &, std::uint32_t) { return Fate{Length}; };
@@ -124,14 +129,22 @@
   std::vector<std::string> Trace_;     ///< Events, for debugging.
   std::vector<std::string> Broken_;    ///< Invariant violations so far.
   std::uint64_t AdviceCalls_ = 0;
-  /// If set, calls to the policy queue until an entry of this pool is free and
-  /// take their expected time; otherwise each is answered after 20 ms. Supports
-  /// a single owner only.
+  /// If set, calls to the policy queue until an entry of the owner's pool is
+  /// free and take their expected time; otherwise each is answered after 20 ms.
+  /// Each owner begins with a copy of this pool.
   std::optional<advice::Pool> Policy_;
+  /// Entries of Policy_ that answer no call, by address.
+  std::set<std::string> SilentEntries_;
   /// Answer of the policy; by default it allows every worker.
   std::function<bool(const WorkerId &)> Allows_ = [](const WorkerId &) {
     return true;
   };
+  /// The same by step; if set, it replaces Allows_.
+  std::function<bool(const workflow::StepId &, const WorkerId &)> AllowsStep_;
+  /// Whether the policy allows the step on the worker.
+  bool allows(const workflow::StepId &Step, const WorkerId &W) const {
+    return AllowsStep_ ? AllowsStep_(Step, W) : Allows_(W);
+  }
 
 private:
   struct Event {
@@ -169,6 +182,7 @@
   /// Drops the ends reported by a worker that is cut off or gone: its last
   /// answers may have been lost, so a new run is permitted.
   void forgetReportedEnds(const WorkerId &W);
+  void dropFromRegistry(const WorkerId &Id);
   void checkWorkers();
   /// Begins the work of complete gangs and ends gangs that lost a member.
   void joinGangs();
