A call for advice that got no answer goes to an entry that answers

What callers saw: an accepted job of a queue with a placement policy had nothing running with most of the workers' room free (LOST).

Cause: a call to the policy went to the entry with the least expected work, whatever came of its last calls. A peer without an answer was avoided for 2 s, and one call takes its expected time and 700 ms: with three silent peers (a long call) or four (a short one) that sort before the owner the first is used again before the owner's turn comes, for ever. Peers that have left for good stay listed. An owner among the entries that are reserved for short calls never made a long call itself at all.

Evidence: permits::a_step_gets_advice_although_no_peer_answers and permits::a_long_call_is_made_by_a_reserved_owner_if_no_peer_answers failed on (no start in 14 s) and pass.

Change: each entry is known as answering, silent or neither. Silent ones are chosen last, and a call that is made again goes to an entry that answers, reserved or not; the owner counts as answering until one of its own calls fails. Each failure takes one entry out of these, so a step tries each entry at most once.

--- a/packages/advice/detail/pool.hpp
+++ b/packages/advice/detail/pool.hpp
@@ -11,11 +11,19 @@
 
 using scheduler::AdviceCall;
 
+/// What the calls of an entry have shown about it.
+enum class Contact {
+  Unknown, ///< It has made no call yet.
+  Answers, ///< Its last call was answered.
+  Silent   ///< Its last call got no answer.
+};
+
 /// Load of an entry that calls the policy on behalf of this one.
 struct EntryLoad {
   Milliseconds Backlog_{0};  ///< Expected duration of the calls in flight.
   unsigned InFlight_ = 0;    ///< Number of calls in flight.
   TimePoint AvoidedUntil_{}; ///< Gets no calls before this time.
+  Contact Contact_ = Contact::Unknown;
 };
 
 /// A call that is queued or in flight.
--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -1,6 +1,7 @@
 #include "advice/advice.hpp"
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace pollenvale::advice {
@@ -22,20 +23,38 @@
 /// addresses alike and therefore reserve the same entries.
 constexpr std::size_t EntriesPerReserved = 3;
 
+bool answers(const EntryLoad &Load) {
+  return Load.Contact_ == Contact::Answers;
+}
+
+bool anyAnswers(const Pool &Calls) {
+  return std::any_of(Calls.Entries_.begin(), Calls.Entries_.end(),
+                     [](const auto &Entry) { return answers(Entry.second); });
+}
+
 /// Entry with the least backlog among those that may make \p Call; null if all
-/// of them are busy or avoided. Sets \p Address to its address.
+/// of them are busy or avoided. Silent entries come last. A call that is made
+/// again goes to an entry that answers, reserved or not: peers that have left
+/// for good stay listed, and a step must not try one after the other. Sets
+/// \p Address to its address.
 EntryLoad *chooseEntry(Pool &Calls, const AdviceCall &Call, TimePoint Now,
                        std::string &Address) {
   std::size_t Reserved = Calls.Entries_.size() / EntriesPerReserved;
   std::size_t Rank = 0;
+  bool NeedsAnswer = Call.Retried_ && anyAnswers(Calls);
   EntryLoad *Best = nullptr;
+  auto RankOf = [](const EntryLoad &Load) {
+    return std::pair(Load.Contact_ == Contact::Silent, Load.Backlog_);
+  };
   for (auto &[Candidate, Load] : Calls.Entries_) {
     bool IsReserved = Rank++ < Reserved;
     if (Now < Load.AvoidedUntil_ || Load.Backlog_ > MaxBacklog)
       continue;
-    if (IsReserved && Call.Expected_ > LongCallTime)
+    if (IsReserved && !Call.Retried_ && Call.Expected_ > LongCallTime)
+      continue;
+    if (NeedsAnswer && !answers(Load))
       continue;
-    if (Best && Best->Backlog_ <= Load.Backlog_)
+    if (Best && RankOf(*Best) <= RankOf(Load))
       continue;
     Best = &Load;
     Address = Candidate;
@@ -54,6 +73,7 @@
   Load.Backlog_ =
       std::max(Load.Backlog_ - Call.Call_.Expected_, Milliseconds{0});
   --Load.InFlight_;
+  Load.Contact_ = Answered ? Contact::Answers : Contact::Silent;
   if (!Answered && Call.Entry_ != Calls.Self_)
     Load.AvoidedUntil_ = Now + AvoidTime;
 }
@@ -63,7 +83,7 @@
 Pool makePool(const std::string &Self) {
   Pool Calls;
   Calls.Self_ = Self;
-  Calls.Entries_[Self];
+  Calls.Entries_[Self].Contact_ = Contact::Answers;
   return Calls;
 }
 
@@ -108,18 +128,16 @@
 /// sorting in most loop iterations.
 bool canDispatch(Pool &Calls, TimePoint Now) {
   std::string UnusedAddress;
-  const AdviceCall *FirstCall = nullptr;
-  // Which entries may take a call depends only on whether it is long, so one
-  // call of each kind is tried.
+  // Which entries may take a call depends only on whether it is long or made
+  // again, so one call of each kind is tried.
+  std::array<bool, 4> Tried{};
   for (const PendingCall &Call : Calls.Queue_) {
     bool Long = Call.Call_.Expected_ > LongCallTime;
-    if (FirstCall && Long == (FirstCall->Expected_ > LongCallTime))
+    bool &Known = Tried[2 * Long + Call.Call_.Retried_];
+    if (std::exchange(Known, true))
       continue;
     if (chooseEntry(Calls, Call.Call_, Now, UnusedAddress))
       return true;
-    if (FirstCall)
-      return false;
-    FirstCall = &Call.Call_;
   }
   return false;
 }
--- a/packages/scheduler/detail/outbox.hpp
+++ b/packages/scheduler/detail/outbox.hpp
@@ -92,6 +92,7 @@
   TimePoint WorthlessAt_{};  ///< A result has no value after this time.
   bool LongRunning_ = false; ///< A service, which never loses its value.
   Milliseconds Expected_{0}; ///< Expected duration of the call.
+  bool Retried_ = false;     ///< The last call for the step got no answer.
 };
 
 /// Writes records to the store; answered by onWriteReply() with its id.
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -162,6 +162,7 @@
   Call.DueAt_ = dueAt(J, *Ready.Occurrence_, *Ready.Spec_, Step);
   Call.WorthlessAt_ = worthlessAt(J, *Ready.Occurrence_);
   Call.LongRunning_ = Ready.Spec_->LongRunning_;
+  Call.Retried_ = Step.AdviceUnanswered_ > 0;
   Call.Expected_ = Milliseconds(std::int64_t(J.Queue_.Advice_->DecisionMs_ +
                                              J.Queue_.Advice_->PerWorkerMs_ *
                                                  double(Call.Workers_.size())));
