One step at a time reserves a worker, and only one on which it will fit

What callers saw: an accepted job had nothing running with most of the workers' room free (LOST).

Cause: a step without room reserves the freest worker as a whole, again with each pass. Two steps chose the same worker: each found all of it reserved for the other, and neither started once it was free. For a service this never ends, as it reserves past its objective, too. A service that can't fit beside the services of a worker reserved it for ever, so that smaller tasks found no room there.

Change: a step passes over workers that another one has reserved as a whole, and those on which it doesn't fit beside the tasks that don't end by themselves.

--- a/packages/scheduler/detail/placement_pass.hpp
+++ b/packages/scheduler/detail/placement_pass.hpp
@@ -57,7 +57,8 @@
 /// that short tasks do not fill it before the policy answers.
 void reserveAdvisedWorkers(Pass &Pass, const AdviceCall &Call,
                            const Resources &Size);
-/// Reserves the eligible worker with the most free resources for the step.
+/// Reserves the worker with the most free resources for the step, of those that
+/// no other step has as a whole and on which a task will fit.
 void reserveFreestWorker(Pass &Pass, const WaitingStep &Ready);
 /// Whether a worker may be reserved for the step: small tasks would refill it
 /// before a large one fits. At most a quarter of the workers are reserved.
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -219,6 +219,7 @@
   WorkerId Worker_;
   Resources Room_;
   TimePoint ExpiresAt_{};
+  bool Whole_ = false; ///< Of the whole worker; one step at a time has it.
 };
 
 /// All state of the owner.
--- a/packages/scheduler/src/placement_pass.cpp
+++ b/packages/scheduler/src/placement_pass.cpp
@@ -186,8 +186,36 @@
         Pass, {Call.Step_, W, Size, Pass.Now_ + Call.Expected_ + AnswerMargin});
 }
 
+namespace {
+
+/// Workers that are reserved as a whole.
+std::set<std::string_view> wholeReservations(const State &State) {
+  std::set<std::string_view> Out;
+  for (const Reservation &R : State.Reservations_)
+    if (R.Whole_)
+      Out.insert(R.Worker_);
+  return Out;
+}
+
+/// Whether a task of the step will fit on the worker once all tasks there that
+/// end by themselves have ended.
+bool willFit(const State &State, const Worker &W, const Resources &Size) {
+  Resources Left = W.Info_.Capacity_;
+  for (const TaskId &Id : W.Tasks_) {
+    const workflow::StepSpec *Spec = findSpec(State, Id.Step_);
+    if (Spec && Spec->LongRunning_)
+      Left -= workflow::chargedSize(*Spec);
+  }
+  return fits(Size, Left);
+}
+
+} // namespace
+
 void reserveFreestWorker(Pass &Pass, const WaitingStep &Ready) {
   constexpr Milliseconds MaxHold{300};
+  dropReservations(Pass, Ready.Id_);
+  // Two steps with the same worker would keep each other from it.
+  std::set<std::string_view> Taken = wholeReservations(Pass.State_);
   const OpenWorker *Best = nullptr;
   std::tuple<bool, std::int64_t, std::int64_t> BestRank;
   for (const OpenWorker &O : Pass.Open_) {
@@ -197,10 +225,11 @@
     const WorkerId &Name = O.Worker_->Info_.Id_;
     std::get<bool>(Rank) = Ready.Step_->Permits_.count(Name) > 0;
     bool Allowed =
-        !Ready.Step_->Denied_.count(Name) &&
+        !Ready.Step_->Denied_.count(Name) && !Taken.count(Name) &&
         (Ready.Spec_->MaxPerWorker_ == 0 ||
          tasksOn(*O.Worker_, Ready.Id_) < Ready.Spec_->MaxPerWorker_);
-    if (Allowed && (!Best || Rank > BestRank)) {
+    if (Allowed && (!Best || Rank > BestRank) &&
+        willFit(Pass.State_, *O.Worker_, Ready.Size_)) {
       Best = &O;
       BestRank = Rank;
     }
@@ -208,9 +237,8 @@
   if (!Best)
     return;
   const WorkerInfo &Info = Best->Worker_->Info_;
-  dropReservations(Pass, Ready.Id_);
-  addReservation(Pass,
-                 {Ready.Id_, Info.Id_, Info.Capacity_, Pass.Now_ + MaxHold});
+  addReservation(
+      Pass, {Ready.Id_, Info.Id_, Info.Capacity_, Pass.Now_ + MaxHold, true});
 }
 
 bool mayReserve(const Pass &Pass, const WaitingStep &Ready) {
