What the policy said of a worker is forgotten when it restarts

What callers saw: an accepted job had nothing running with room free (LOST).

Cause: Step::Denied_ and Step::Permits_ name workers, not their incarnations. A worker may start again under its id as another kind; a step that it had been denied asked about it again only once all workers were denied. Its old permits were sent to it and refused.

Evidence: permits::a_worker_that_has_restarted_is_asked_about_again fails without the call of forgetAdvice() (no start in 14 s) and passes with it.

Open: an answer about the former incarnation that arrives after the restart still counts for the present one.

--- a/packages/scheduler/src/renewals.cpp
+++ b/packages/scheduler/src/renewals.cpp
@@ -234,6 +234,17 @@
   extendLease(State, W, State.Options_.MaxLease_, Now);
 }
 
+/// Forgets what the placement policy said of the former incarnation: the
+/// present one may be of another kind, and knows none of its permits.
+void forgetAdvice(State &State, const WorkerId &Id) {
+  for (auto &[JobName, J] : State.Jobs_)
+    for (auto &[Number, O] : J.Open_)
+      for (Step &Step : O.Steps_) {
+        Step.Denied_.erase(Id);
+        Step.Permits_.erase(Id);
+      }
+}
+
 /// Resets what belongs to the former incarnation if the worker has restarted.
 void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
                        const RenewReply &Reply, TimePoint Now) {
@@ -242,6 +253,7 @@
   if (W.RunsKnown_) {
     count(State.Counters_, "worker-restarted");
     extendMisreadLease(State, W, Call, Now);
+    forgetAdvice(State, W.Info_.Id_);
   }
   W.Incarnation_ = Reply.StartedUnixMs_;
   W.SeenEnd_ = W.StoredEnd_ = 0;
--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -129,3 +129,21 @@
   C.submit("j1", plainJob({plainStep(1)}));
   cr_assert(C.startsWithin("j1", FinishTime));
 }
+
+// Guards against LOST: a denial outlived the incarnation of the worker that it
+// was about, so the policy was not asked about the present one.
+Test(permits, a_worker_that_has_restarted_is_asked_about_again) {
+  AskingCell C;
+  C.Allows_ = [](const WorkerId &W) { return W == "a"; };
+  C.setRunTime(Milliseconds(60'000));
+  C.submit("j1", plainJob({plainStep(9)}));
+  C.run(Milliseconds(6'000));
+  cr_assert_eq(C.whereIs({{"j1", 0, 0}, 8}).size(), 0u);
+  C.Allows_ = [](const WorkerId &W) { return W == "a" || W == "b"; };
+  C.restartWorker("b");
+  cr_assert(C.runUntil(
+      [&] {
+        return !C.whereIs({{"j1", 0, 0}, 8}).empty();
+      },
+      FinishTime));
+}
