--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -146,7 +146,8 @@
 void planWrites(State &State, TimePoint Now, Outbox &Out);
 /// Starts waiting tasks and requests the permits that they need.
 void placeTasks(State &State, TimePoint Now, Outbox &Out);
-/// Logs why steps have been waiting for long.
+/// Logs why steps have been waiting for long, and runs that have been unsettled
+/// for long.
 void reportLongWaits(State &State, TimePoint Now, Outbox &Out);
 /// Adapts the CPU limit of best-effort tasks on the worker to the tail latency
 /// of its service tasks.
--- a/packages/scheduler/src/waiting.cpp
+++ b/packages/scheduler/src/waiting.cpp
@@ -14,14 +14,26 @@
 
 /// Numbers of workers by their ability to run a task of a step.
 struct WorkerTally {
-  unsigned Usable_ = 0;  ///< Can host a task; see canHost().
-  unsigned Denied_ = 0;  ///< Of the usable ones: denied by the policy.
-  unsigned Allowed_ = 0; ///< Of the usable ones: permitted at some time.
-  unsigned Free_ = 0;    ///< Of the usable ones: not denied, with room now.
+  unsigned Usable_ = 0;   ///< Can host a task; see canHost().
+  unsigned Denied_ = 0;   ///< Of the usable ones: denied by the policy.
+  unsigned Allowed_ = 0;  ///< Of the usable ones: permitted at some time.
+  unsigned Free_ = 0;     ///< Of the usable ones: not denied, with room now.
+  unsigned Reserved_ = 0; ///< Of those with room: reserved for another step.
 };
 
-WorkerTally tallyWorkers(const State &State, const Job &J, const Step &Step,
-                         const workflow::StepSpec &Spec, TimePoint Now) {
+/// Whether a reservation for another step leaves no room for a task of \p Size.
+bool isReservedForOthers(const State &State, const Worker &W, const StepId &Id,
+                         const Resources &Size) {
+  Resources Room = freeResources(W);
+  for (const Reservation &R : State.Reservations_)
+    if (R.Worker_ == W.Info_.Id_ && !(R.Step_ == Id))
+      Room -= R.Room_;
+  return !fits(Size, Room);
+}
+
+WorkerTally tallyWorkers(const State &State, const StepId &Id, const Job &J,
+                         const Step &Step, const workflow::StepSpec &Spec,
+                         TimePoint Now) {
   WorkerTally Out;
   Resources Size = workflow::chargedSize(Spec);
   for (const auto &[Name, W] : State.Workers_) {
@@ -31,7 +43,10 @@
     ++Out.Usable_;
     Out.Denied_ += Denied;
     Out.Allowed_ += Step.Permits_.count(Name) > 0;
-    Out.Free_ += !Denied && fits(Size, freeResources(W));
+    if (Denied || !fits(Size, freeResources(W)))
+      continue;
+    ++Out.Free_;
+    Out.Reserved_ += isReservedForOthers(State, W, Id, Size);
   }
   return Out;
 }
@@ -55,7 +70,7 @@
   const Job &J = State.Jobs_.at(Id.Job_);
   const Step &Step = *findStep(State, Id);
   const workflow::StepSpec &Spec = *findSpec(State, Id);
-  WorkerTally T = tallyWorkers(State, J, Step, Spec, Now);
+  WorkerTally T = tallyWorkers(State, Id, J, Step, Spec, Now);
   return {
       "step-waits",
       {{"step", workflow::toString(Id)},
@@ -74,18 +89,56 @@
        {"workers_denied", T.Denied_},
        {"workers_allowed", T.Allowed_},
        {"workers_free", T.Free_},
+       {"workers_reserved", T.Reserved_},
+       {"behind_store", State.BehindStore_},
        {"inherited_unclear", J.Inherited_ && State.InheritancePending_},
+       {"unaccounted", State.UnconfirmedWorkers_.size()},
        {"advice_in_flight", Step.AdviceInFlight_},
        {"advice_calls", Step.AdviceCalls_},
        {"advice_unanswered", Step.AdviceUnanswered_}}};
 }
 
+std::string_view phaseName(RunPhase Phase) {
+  static constexpr std::string_view Names[] = {"starting", "running",
+                                               "unresolved"};
+  return Names[std::size_t(Phase)];
+}
+
+/// Logs runs that are neither known to work nor known to have ended: their
+/// tasks don't start again before that.
+void reportUnsettledRuns(State &State, TimePoint Now, Outbox &Out) {
+  std::size_t Lines = 0;
+  for (const auto &[Name, W] : State.Workers_)
+    for (const TaskId &Id : W.Tasks_) {
+      const Run &R = *findTask(State, Id)->Run_;
+      bool Settled = R.Phase_ == RunPhase::Running && !R.StopRequested_;
+      if (Settled || Now - R.StartedAt_ < LongWait)
+        continue;
+      if (++Lines > MaxLinesPerPass)
+        return;
+      Out.Notes_.push_back({"run-unsettled",
+                            {{"task", workflow::toString(Id)},
+                             {"run", R.Number_},
+                             {"worker", Name},
+                             {"phase", phaseName(R.Phase_)},
+                             {"age_ms", elapsed(R.StartedAt_, Now).count()},
+                             {"sends", R.Sends_},
+                             {"in_flight", R.InFlight_},
+                             {"stop_requested", R.StopRequested_},
+                             {"confirmed", R.SettledAt_.has_value()},
+                             {"worker_misses", W.Misses_},
+                             {"worker_listed", W.InRegistry_}},
+                            true});
+    }
+}
+
 } // namespace
 
 void reportLongWaits(State &State, TimePoint Now, Outbox &Out) {
   if (Now < State.NextWaitReportAt_)
     return;
   State.NextWaitReportAt_ = Now + ExplainInterval;
+  reportUnsettledRuns(State, Now, Out);
   std::vector<StepId> Long = findLongWaits(State, Now);
   std::size_t Lines = std::min(Long.size(), MaxLinesPerPass);
   for (std::size_t I = 0; I < Lines; ++I)
--- a/packages/scheduler/tests/unit-trace.cpp
+++ b/packages/scheduler/tests/unit-trace.cpp
@@ -134,3 +134,34 @@
   cr_assert(Last ==
             std::vector<std::string>({"j.0.0", "i.0.0", "h.0.0", "g.0.0"}));
 }
+
+Test(trace, a_waiting_step_is_logged_with_the_workers_it_waits_for) {
+  FleetCell C({"a", "b"});
+  C.beginBusy(16, Milliseconds(60'000), Milliseconds(500));
+  C.worker("b").Cut_ = true;
+  C.takeOver();
+  C.run(Milliseconds(8'500));
+  std::vector<Note> Waits = notesOf(C, "step-waits");
+  cr_assert_not(Waits.empty());
+  const nlohmann::json &F = Waits.front().Fields_;
+  cr_assert(F["inherited_unclear"] == true);
+  cr_assert(F["unaccounted"] == 1);
+  cr_assert(F["behind_store"] == false);
+}
+
+Test(trace, a_run_that_is_neither_started_nor_ended_is_logged) {
+  FleetCell C({"a"});
+  C.takeOver();
+  C.run(Milliseconds(500));
+  C.submit("j1", plainJob({plainStep(1)}));
+  C.runUntil([&] { return !C.owner().State_.Workers_.at("a").Tasks_.empty(); });
+  C.worker("a").Cut_ = true;
+  C.run(Milliseconds(9'000));
+  std::vector<Note> Runs = notesOf(C, "run-unsettled");
+  cr_assert_not(Runs.empty());
+  const nlohmann::json &F = Runs.front().Fields_;
+  cr_assert(F["task"] == "j1.0.0.0");
+  cr_assert(F["worker"] == "a");
+  cr_assert_neq(F["phase"], "running");
+  cr_assert_geq(F["age_ms"].get<int>(), 4'000);
+}
