Failures of services set no worker aside

Cause: a worker with failures of three jobs since its last success is given no tasks for 4 s. A service never succeeds and may fail at any time, so on a worker that runs services the count only grew, and from the third on each failure set it aside again.

Change: failures of services don't count. Same class, open: a worker that is set aside for failures of other jobs (4 s) or stalled tasks (4 s) is closed to steps that can run nowhere else, too.

--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -155,7 +155,9 @@
     W.FailedJobs_.clear();
     return;
   }
-  if (End.Kind_ != EndKind::Failed)
+  // A service may fail at any time, and never succeeds.
+  const workflow::StepSpec *Spec = findSpec(State, End.Task_.Step_);
+  if (End.Kind_ != EndKind::Failed || (Spec && Spec->LongRunning_))
     return;
   W.FailedJobs_.insert(End.Task_.Step_.Job_);
   if (W.FailedJobs_.size() < JobsBeforeAvoiding || !maySetAside(State, Now))
--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -274,3 +274,20 @@
   cr_assert_not(C.runs("s2"));
   cr_assert(C.Broken_.empty());
 }
+
+// Guards against LOST: failures of services, which may end at any time, set the
+// only worker aside that could run them.
+Test(services, failures_of_services_set_no_worker_aside) {
+  LabelledWorker C;
+  C.FateOf_ = [](const TaskId &Id, std::uint32_t Run) {
+    constexpr Milliseconds Long{90'000};
+    Milliseconds First(Id.Step_.Job_ == "s3" ? 1'500 : 1'000);
+    return Run == 1 ? Fate{First, EndKind::Failed} : Fate{Long};
+  };
+  for (const char *Job : {"s1", "s2", "s3"})
+    C.submit(Job, plainJob({labelledService(1'000)}));
+  C.run(Milliseconds(1'400));
+  cr_assert(C.runUntil([&] { return !C.runs("s3"); }));
+  constexpr Milliseconds IdleLimit{3'000};
+  cr_assert(C.runUntil([&] { return C.runs("s3"); }, IdleLimit));
+}
