--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -273,8 +273,10 @@
     send(O, C);
   for (const auto &C : Out.Writes_)
     send(O, C);
-  for (scheduler::Note &N : Out.Notes_)
+  for (scheduler::Note &N : Out.Notes_) {
+    note("log " + N.Event_ + " " + N.Fields_.dump());
     Notes_.push_back(std::move(N));
+  }
 }
 
 void FleetCell::answer(Owner &O, const scheduler::Target &To, TimePoint SentAt,
