Failing tests: calls cut off when an entry or a server stops

The server gets the interface that a stop needs, LoopServer, with what the entry does today behind it (answers being written are waited for, nothing else); the entry itself is unchanged.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -118,6 +118,21 @@
   bool Closed_ = false;
 };
 
+class RestinioLoopServer : public LoopServer {
+public:
+  RestinioLoopServer(std::shared_ptr<Counter> UnwrittenCount,
+                     std::function<void()> Shutdown)
+      : Server_(std::move(UnwrittenCount), std::move(Shutdown)) {}
+  std::size_t unwritten() const override { return Server_.unwritten(); }
+  void stop() override { Server_.stop(); }
+  void drain() override {}
+  bool isDrained() const override { return unwritten() == 0; }
+  ServerLoad load() const override { return {}; }
+
+private:
+  RestinioServer Server_;
+};
+
 RequestHandler
 makeRequestHandler(Handler Handle,
                    const std::shared_ptr<Counter> &UnwrittenCount) {
@@ -163,17 +178,17 @@
   });
 }
 
-std::unique_ptr<Server> startServer(asio::io_context &Io,
-                                    const ServerOptions &Options,
-                                    Handler Handle) {
+std::unique_ptr<LoopServer> startServer(asio::io_context &Io,
+                                        const ServerOptions &Options,
+                                        Handler Handle) {
   auto UnwrittenCount = std::make_shared<Counter>(0);
   auto Settings =
       makeSettings<LoopTraits>(Options, std::move(Handle), UnwrittenCount);
   auto Running = std::make_shared<restinio::http_server_t<LoopTraits>>(
       restinio::external_io_context(Io), std::move(Settings));
   Running->open_sync();
-  return std::make_unique<RestinioServer>(std::move(UnwrittenCount),
-                                          [Running] { Running->close_sync(); });
+  return std::make_unique<RestinioLoopServer>(
+      std::move(UnwrittenCount), [Running] { Running->close_sync(); });
 }
 
 } // namespace pollenvale::http
--- a/tests/processes/platform.py
+++ b/tests/processes/platform.py
@@ -3,26 +3,33 @@
 
 Usage: platform.py BUILD_FOLDER BASE_PORT
 """
+import concurrent.futures
 import http.client
 import json
 import os
+import pathlib
+import signal
 import struct
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 
 ENTRIES = 3
 PARTITIONS = 3  # Fewer than services, and than most stores have.
 SERVICES = [f"service-{i}" for i in range(8)]
 WAIT_S = 30  # Only ends a run that hangs.
+GRACE_S = 6  # From SIGTERM to SIGKILL, the default of the settings.
+LINGER_S = 3.5  # An entry serves callers so long after SIGTERM, or longer.
+KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
 
 
-def call(port, method, path, body=None, host="caller.test"):
+def call(port, method, path, body=None, host="caller.test", headers=None):
     """One HTTP call; its code and body. Code 0 when there was no answer."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
     try:
-        connection.request(method, path, body, {"Host": host})
+        connection.request(method, path, body, {"Host": host, **(headers or {})})
         answer = connection.getresponse()
         return answer.status, answer.read()
     except OSError:
@@ -101,6 +108,26 @@
         self.processes[name].kill()
         self.processes.pop(name).wait()
 
+    def restart_entries(self):
+        """Starts all entries again, whether they run or not."""
+        self.store('{"mode":"up"}')
+        for entry in range(1, ENTRIES + 1):
+            if f"e{entry}" in self.processes:
+                self.kill(f"e{entry}")
+            self.start_entry(entry)
+        self.wait_ready()
+
+    def ends_in_time(self, entry, since):
+        """Waits for the end of an entry that got SIGTERM at the time since."""
+        process = self.processes.pop(f"e{entry}")
+        try:
+            code = process.wait(max(0.0, since + GRACE_S - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            raise AssertionError(f"entry {entry} would have been killed") from None
+        assert code == 0, code
+
     def wait_ready(self):
         for entry in range(1, ENTRIES + 1):
             until(f"entry {entry} is ready", lambda: self.ready(entry)[0] == 200)
@@ -235,6 +262,48 @@
     until("the cancellation is visible elsewhere", cancelled)
 
 
+def answers_calls_that_arrive_while_it_stands_still(cell):
+    """Guards against LOST: an entry that gets no processor while its time to
+    linger passes, and then ends before it reads what has arrived meanwhile."""
+    path = f"/{SERVICES[1]}/{job_id(1)}"
+    connections = [http.client.HTTPConnection("127.0.0.1", cell.caller_port(3), timeout=10)
+                   for _ in range(4)]
+    entry, since = cell.processes["e3"], time.monotonic()
+    entry.send_signal(signal.SIGTERM)
+    time.sleep(LINGER_S - 0.2)
+    entry.send_signal(signal.SIGSTOP)
+    for connection in connections:
+        connection.request("GET", path, None, {"Host": "caller.test"})
+    time.sleep(max(0.0, since + LINGER_S + 0.3 - time.monotonic()))
+    entry.send_signal(signal.SIGCONT)
+    codes = [connection.getresponse().status for connection in connections]
+    assert codes == [200] * len(codes), codes
+    cell.ends_in_time(3, since)
+    cell.start_entry(3)
+    cell.wait_ready()
+
+
+def answers_what_waits_for_the_store_before_it_ends(cell):
+    """Guards against LOST: calls that wait for a store that does not answer are
+    cut off when the entry ends."""
+    since = time.monotonic()
+    cell.processes["e3"].send_signal(signal.SIGTERM)
+    cell.store('{"mode":"silent"}')
+    port, patient = cell.caller_port(3), {"X-Deadline-Ms": "20000"}
+    body = json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 500, "memMb": 64, "estimateMs": 100}]})
+    calls = [("POST", f"/{SERVICES[0]}/{job_id(70)}", body),
+             ("GET", f"/{SERVICES[1]}/{job_id(71)}", None),
+             ("DELETE", f"/{SERVICES[2]}/{job_id(72)}", None)]
+    with concurrent.futures.ThreadPoolExecutor(len(calls)) as pool:
+        answers = list(pool.map(lambda c: call(port, *c, headers=patient), calls))
+    cell.ends_in_time(3, since)
+    cell.store('{"mode":"up"}')
+    cell.start_entry(3)
+    cell.wait_ready()
+    # The job may have been stored; nothing was done for the others.
+    assert [code for code, _ in answers] == [504, 503, 503], answers
+
+
 TESTS = [
     accepts_jobs_of_every_service,
     names_the_reason_while_not_ready,
@@ -242,15 +311,41 @@
     keeps_jobs_of_retired_services,
     accepts_soon_after_a_silent_outage,
     cancels_once,
+    answers_calls_that_arrive_while_it_stands_still,
+    answers_what_waits_for_the_store_before_it_ends,
 ]
 
 
+def known_red():
+    """Names of the tests that KNOWN-RED.txt lists as "platform.py NAME ..."."""
+    words = [line.split() for line in KNOWN_RED.read_text().splitlines()] if KNOWN_RED.exists() else []
+    return {w[1] for w in words if len(w) > 1 and w[0] == "platform.py"}
+
+
+def run(test, cell):
+    """Whether the test is passed over as known red; one that passes must leave
+    the list."""
+    listed = test.__name__ in known_red()
+    try:
+        test(cell)
+    except Exception:
+        if not listed:
+            raise
+        traceback.print_exc(limit=1)
+        print(f"known red: platform.py {test.__name__}", flush=True)
+        cell.restart_entries()
+        return True
+    assert not listed, f"listed in KNOWN-RED.txt, but passes: {test.__name__}"
+    return False
+
+
 def main():
     cell = Cell(sys.argv[1], int(sys.argv[2]))
     try:
+        red = 0
         for test in TESTS:
             print(f"== platform: {test.__name__}", flush=True)
-            test(cell)
+            red += run(test, cell)
     except AssertionError:
         print(f"logs: {cell.folder}; end of each:")
         for name in sorted(os.listdir(cell.folder)):
@@ -260,7 +355,7 @@
         raise
     finally:
         cell.stop()
-    print(f"{len(TESTS)} passed, 0 failed")
+    print(f"{len(TESTS) - red} passed, {red} known red")
 
 
 main()
