Server: count what has arrived, not what was parsed, before it ends

Cause: the only count was that of answers being written. A connection that waits to be accepted, bytes that lie unread, half a request and a call whose answer is still to come counted as nothing, and on a late loop the tick that ends the process runs before the handlers that would read them.

Change: a server on a caller's loop can be drained. Its sockets read in the handler only, so bytes lie either in the socket, where poll() sees them, or with the server. drain() closes the listener once no connection waits to be accepted, and connections without a request; a request counts as unanswered from the call of its handler until its answer is written.

--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,3 +1,4 @@
+#include "http/detail/served_socket.hpp"
 #include "http/http.hpp"
 
 #include <algorithm>
@@ -17,21 +18,49 @@
 
 /// Without locks, for a server that runs on one thread.
 struct LoopTraits : restinio::default_single_thread_traits_t {
+  using stream_socket_t = detail::ServedSocket;
   using request_handler_t = RequestHandler;
 };
 
 using Counter = std::atomic<std::size_t>;
 
-/// Counts one answer as unwritten during the lifetime of the object.
-struct UnwrittenAnswer {
-  explicit UnwrittenAnswer(std::shared_ptr<Counter> UnwrittenCount)
-      : UnwrittenCount_(std::move(UnwrittenCount)) {
-    ++*UnwrittenCount_;
+/// Numbers of requests of one server.
+struct RequestCounts {
+  Counter Unanswered_{0}; ///< Passed to the handler, answer not written.
+  Counter Unwritten_{0};  ///< Part of them: passed to the responder.
+  std::atomic<std::uint64_t> Answered_{0}; ///< Answer written.
+};
+
+/// Counts one request as unanswered during the lifetime of the object.
+class PendingAnswer {
+public:
+  explicit PendingAnswer(std::shared_ptr<RequestCounts> Counts)
+      : Counts_(std::move(Counts)) {
+    ++Counts_->Unanswered_;
   }
-  ~UnwrittenAnswer() { --*UnwrittenCount_; }
-  UnwrittenAnswer(const UnwrittenAnswer &) = delete;
-  UnwrittenAnswer &operator=(const UnwrittenAnswer &) = delete;
-  std::shared_ptr<Counter> UnwrittenCount_;
+  ~PendingAnswer() {
+    --Counts_->Unanswered_;
+    if (Responded_)
+      --Counts_->Unwritten_;
+  }
+  PendingAnswer(const PendingAnswer &) = delete;
+  PendingAnswer &operator=(const PendingAnswer &) = delete;
+
+  void onRespond() {
+    Responded_ = true;
+    ++Counts_->Unwritten_;
+  }
+  void onWritten() { ++Counts_->Answered_; }
+
+private:
+  std::shared_ptr<RequestCounts> Counts_;
+  bool Responded_ = false;
+};
+
+/// A request that has been passed to the handler.
+struct PendingRequest {
+  restinio::request_handle_t Request_;
+  std::shared_ptr<PendingAnswer> Answer_; ///< Null once it is responded.
 };
 
 std::string toLowerCase(std::string Text) {
@@ -78,11 +107,11 @@
   Response.done();
 }
 
-void respond(const restinio::request_handle_t &Request, ServerReply Reply,
-             const std::shared_ptr<Counter> &UnwrittenCount) {
+void respond(PendingRequest &Pending, ServerReply Reply) {
+  std::shared_ptr<PendingAnswer> Answer = std::move(Pending.Answer_);
   if (Reply.Truncate_)
-    return respondTruncated(Request, Reply);
-  auto Response = Request->create_response(statusLine(Reply.Code_));
+    return respondTruncated(Pending.Request_, Reply);
+  auto Response = Pending.Request_->create_response(statusLine(Reply.Code_));
   Response.append_header(restinio::http_field::content_type,
                          Reply.ContentType_);
   for (const auto &[Name, Value] : Reply.Headers_)
@@ -90,20 +119,22 @@
   if (Reply.Close_)
     Response.connection_close();
   Response.set_body(std::move(Reply.Body_));
+  Answer->onRespond();
   // RESTinio destroys the callback once the answer is written or discarded.
-  Response.done([Guard = std::make_shared<UnwrittenAnswer>(UnwrittenCount)](
-                    const asio::error_code &) {});
+  Response.done([Answer = std::move(Answer)](const asio::error_code &Err) {
+    if (!Err)
+      Answer->onWritten();
+  });
 }
 
 /// A running server. \p Shutdown stops it and blocks until it has stopped.
 class RestinioServer : public Server {
 public:
-  RestinioServer(std::shared_ptr<Counter> UnwrittenCount,
+  RestinioServer(std::shared_ptr<RequestCounts> Counts,
                  std::function<void()> Shutdown)
-      : UnwrittenCount_(std::move(UnwrittenCount)),
-        Shutdown_(std::move(Shutdown)) {}
+      : Counts_(std::move(Counts)), Shutdown_(std::move(Shutdown)) {}
   ~RestinioServer() override { close(); }
-  std::size_t unwritten() const override { return *UnwrittenCount_; }
+  std::size_t unwritten() const override { return Counts_->Unwritten_; }
   void stop() override { close(); }
 
 private:
@@ -113,66 +144,118 @@
     Closed_ = true;
     Shutdown_();
   }
-  std::shared_ptr<Counter> UnwrittenCount_;
+  std::shared_ptr<RequestCounts> Counts_;
   std::function<void()> Shutdown_;
   bool Closed_ = false;
 };
 
-class RestinioLoopServer : public LoopServer {
-public:
-  RestinioLoopServer(std::shared_ptr<Counter> UnwrittenCount,
-                     std::function<void()> Shutdown)
-      : Server_(std::move(UnwrittenCount), std::move(Shutdown)) {}
-  std::size_t unwritten() const override { return Server_.unwritten(); }
-  void stop() override { Server_.stop(); }
-  void drain() override {}
-  bool isDrained() const override { return unwritten() == 0; }
-  ServerLoad load() const override { return {}; }
-
-private:
-  RestinioServer Server_;
-};
-
 RequestHandler
 makeRequestHandler(Handler Handle,
-                   const std::shared_ptr<Counter> &UnwrittenCount) {
-  return [Handle = std::move(Handle),
-          UnwrittenCount](restinio::request_handle_t Request) {
-    Handle(convert(Request), [Request, UnwrittenCount](ServerReply Reply) {
-      respond(Request, std::move(Reply), UnwrittenCount);
-    });
-    return restinio::request_accepted();
-  };
+                   const std::shared_ptr<RequestCounts> &Counts) {
+  return
+      [Handle = std::move(Handle), Counts](restinio::request_handle_t Request) {
+        auto Pending = std::make_shared<PendingRequest>();
+        Pending->Request_ = Request;
+        Pending->Answer_ = std::make_shared<PendingAnswer>(Counts);
+        Handle(convert(Request), [Pending](ServerReply Reply) {
+          respond(*Pending, std::move(Reply));
+        });
+        return restinio::request_accepted();
+      };
 }
 
 template <class SettingsTraits>
 restinio::server_settings_t<SettingsTraits>
 makeSettings(const ServerOptions &Options, Handler Handle,
-             const std::shared_ptr<Counter> &UnwrittenCount) {
+             const std::shared_ptr<RequestCounts> &Counts) {
   // RESTinio's limit on the time that a handler takes to answer.
   constexpr std::chrono::minutes HandleTimeout{11};
   return restinio::server_settings_t<SettingsTraits>{}
       .address(Options.Host_)
       .port(Options.Port_)
-      .request_handler(makeRequestHandler(std::move(Handle), UnwrittenCount))
+      .request_handler(makeRequestHandler(std::move(Handle), Counts))
       .handle_request_timeout(HandleTimeout)
       .incoming_http_msg_limits(
           restinio::incoming_http_msg_limits_t{}.max_body_size(HardBodyLimit))
       .cleanup_func([] {});
 }
 
+class RestinioLoopServer : public LoopServer {
+public:
+  RestinioLoopServer(asio::io_context &Io, const ServerOptions &Options,
+                     Handler Handle)
+      : Server_(makeServer(Io, Options, std::move(Handle))) {
+    Server_->open_sync();
+  }
+  ~RestinioLoopServer() override { Server_->close_sync(); }
+
+  std::size_t unwritten() const override { return Counts_->Unwritten_; }
+  void stop() override { Server_->close_sync(); }
+
+  void drain() override {
+    // A connection that was accepted before the listener is closed is in the
+    // set when the loop comes to the next call.
+    Closed_ = !Listener_->is_open();
+    if (!Closed_ && !detail::hasInput(Listener_->native_handle()))
+      Listener_->close();
+    ClosedIdle_ += Sockets_->closeIdle(std::chrono::steady_clock::now());
+  }
+
+  bool isDrained() const override {
+    return Closed_ && Sockets_->size() == 0 && Counts_->Unanswered_ == 0;
+  }
+
+  ServerLoad load() const override {
+    ServerLoad Load;
+    Load.Unanswered_ = Counts_->Unanswered_;
+    Load.Unwritten_ = Counts_->Unwritten_;
+    Load.Unread_ = Sockets_->countUnread();
+    if (Listener_->is_open() && detail::hasInput(Listener_->native_handle()))
+      ++Load.Unread_;
+    Load.PartlyRead_ = Sockets_->countPartlyRead();
+    Load.Connections_ = Sockets_->size();
+    Load.Answered_ = Counts_->Answered_;
+    Load.ClosedIdle_ = ClosedIdle_;
+    return Load;
+  }
+
+private:
+  using LoopHttpServer = restinio::http_server_t<LoopTraits>;
+
+  std::unique_ptr<LoopHttpServer> makeServer(asio::io_context &Io,
+                                             const ServerOptions &Options,
+                                             Handler Handle) {
+    auto Settings =
+        makeSettings<LoopTraits>(Options, std::move(Handle), Counts_);
+    // What tells idle connections from others counts on one request at a time.
+    Settings.max_pipelined_requests(1);
+    Settings.acceptor_post_bind_hook(
+        [this](asio::ip::tcp::acceptor &Listener) { Listener_ = &Listener; });
+    asio::use_service<detail::NextSockets>(Io).Sockets_ = Sockets_;
+    return std::make_unique<LoopHttpServer>(restinio::external_io_context(Io),
+                                            std::move(Settings));
+  }
+
+  std::shared_ptr<RequestCounts> Counts_ = std::make_shared<RequestCounts>();
+  std::shared_ptr<detail::ServedSockets> Sockets_ =
+      std::make_shared<detail::ServedSockets>();
+  asio::ip::tcp::acceptor *Listener_ = nullptr; ///< Part of Server_.
+  std::unique_ptr<LoopHttpServer> Server_;
+  bool Closed_ = false; ///< The listener was closed before the last drain().
+  std::uint64_t ClosedIdle_ = 0;
+};
+
 } // namespace
 
 std::unique_ptr<Server> startServer(const ServerOptions &Options,
                                     Handler Handle) {
-  auto UnwrittenCount = std::make_shared<Counter>(0);
-  auto Settings =
-      makeSettings<Traits>(Options, std::move(Handle), UnwrittenCount);
+  auto Counts = std::make_shared<RequestCounts>();
+  auto Settings = makeSettings<Traits>(Options, std::move(Handle), Counts);
   std::shared_ptr<
       restinio::running_server_instance_t<restinio::http_server_t<Traits>>>
       Running = restinio::run_async<Traits>(
           restinio::own_io_context(), std::move(Settings), Options.Threads_);
-  return std::make_unique<RestinioServer>(std::move(UnwrittenCount), [Running] {
+  return std::make_unique<RestinioServer>(std::move(Counts), [Running] {
     Running->stop();
     Running->wait();
   });
@@ -181,14 +264,7 @@
 std::unique_ptr<LoopServer> startServer(asio::io_context &Io,
                                         const ServerOptions &Options,
                                         Handler Handle) {
-  auto UnwrittenCount = std::make_shared<Counter>(0);
-  auto Settings =
-      makeSettings<LoopTraits>(Options, std::move(Handle), UnwrittenCount);
-  auto Running = std::make_shared<restinio::http_server_t<LoopTraits>>(
-      restinio::external_io_context(Io), std::move(Settings));
-  Running->open_sync();
-  return std::make_unique<RestinioLoopServer>(
-      std::move(UnwrittenCount), [Running] { Running->close_sync(); });
+  return std::make_unique<RestinioLoopServer>(Io, Options, std::move(Handle));
 }
 
 } // namespace pollenvale::http
