Intake: answer what waits for the store before the process ends

Cause: a write whose append has ended without a result stays unanswered with no append in flight, and nothing but the caller's deadline ends the wait.

Change: stop() answers every call that waits: stored if the copy has it, unknown if an append may have carried it, otherwise rejected as not run, which is true since an answered write is never sent. Later calls that would wait are rejected before anything is done.

--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -82,6 +82,7 @@
                                          ///< while the store works.
   TimePoint LastFailureAt_{}; ///< Last append that was not confirmed.
   std::size_t InFlight_ = 0;  ///< Appends in flight.
+  bool Stopped_ = false; ///< Rejects what would wait for the store or a copy.
   Counters Counters_;
 };
 
@@ -110,6 +111,9 @@
 void onCopyUpdated(Intake &State, std::uint32_t Partition, TimePoint Now);
 /// Rejects pending calls that have expired, and retries or abandons writes.
 void tick(Intake &State, TimePoint Now);
+/// Answers every call that waits, as the process ends soon. From then on, calls
+/// that would wait are rejected before anything is done.
+void stop(Intake &State);
 /// Whether the store has answered a read recently and after the last failed
 /// append. No job is accepted while it is unreachable.
 bool isStoreReachable(const Intake &State, TimePoint Now);
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -44,6 +44,10 @@
   return A;
 }
 
+Answer rejectedByStop() {
+  return rejected(ErrorKind::Stopping, "the entry stops; nothing was done");
+}
+
 const ledger::ReplicatedJob *
 findJob(const Intake &State, std::uint32_t Partition, const JobId &Job) {
   auto It = State.Partitions_.find(Partition);
@@ -164,6 +168,8 @@
 void addWrite(Intake &State, std::uint32_t Partition, const JobId &Job,
               bool Cancel, ledger::KeyedRecord Record, const CallTimes &T,
               Reply Done) {
+  if (State.Stopped_)
+    return Done(rejectedByStop());
   auto Write = std::make_shared<PendingWrite>();
   Write->Partition_ = Partition;
   Write->Job_ = Job;
@@ -200,6 +206,22 @@
   }
 }
 
+/// Whether no append has ever contained the record.
+bool isUnsent(Intake &State, const std::shared_ptr<PendingWrite> &Write) {
+  const auto &Unsent = State.PartitionQueues_[Write->Partition_].Unsent_;
+  return !Write->MayBeStored_ &&
+         std::find(Unsent.begin(), Unsent.end(), Write) != Unsent.end();
+}
+
+Answer finalAnswer(Intake &State, const std::shared_ptr<PendingWrite> &Write) {
+  if (isInCopy(State, *Write))
+    return {Outcome::Stored};
+  if (isUnsent(State, Write))
+    return rejectedByStop();
+  return rejected(ErrorKind::LogUnknown,
+                  "the entry stops; the record may be stored");
+}
+
 void storeCancellation(Intake &State, std::uint32_t Partition, const JobId &Job,
                        const ledger::ReplicatedJob &Row, const CallTimes &T,
                        Reply Done) {
@@ -224,6 +246,8 @@
 
 void waitForCopy(Intake &State, std::uint32_t Partition, const JobId &Job,
                  bool Cancel, const CallTimes &T, Reply Done) {
+  if (State.Stopped_)
+    return Done(rejectedByStop());
   State.PendingCalls_.push_back({Partition, Job, Cancel, T.Now_,
                                  T.Now_ + answerTimeout(T), std::move(Done)});
   auto Copy = State.Partitions_.find(Partition);
@@ -373,4 +397,18 @@
   }
 }
 
+void stop(Intake &State) {
+  if (std::exchange(State.Stopped_, true))
+    return;
+  auto Writes = State.Writes_;
+  for (const std::shared_ptr<PendingWrite> &Write : Writes) {
+    count(State.Counters_, "write-stopped");
+    answer(State, Write, finalAnswer(State, Write));
+  }
+  for (const PendingCall &Call : std::exchange(State.PendingCalls_, {})) {
+    count(State.Counters_, "ask-stopped");
+    Call.Reply_(rejectedByStop());
+  }
+}
+
 } // namespace pollenvale::intake
