Entry: end once everything that has arrived is answered

Cause: the tick that ends the process looked at parsed calls and appends in flight only, and ran on a late loop before what had arrived was read. At the limit waiting calls were cut without an answer.

Change: after the linger the servers are drained and the entry ends when they are; 1.1 s before the kill everything that waits is answered and nothing more is begun; past the limit only calls that a further turn of the loop can answer delay the end, up to 150 ms before the kill. `stopping` and `stopped` tell what was found, answered and cut.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -68,7 +68,7 @@
                   {"store", Boot_.StoreAddress_}});
     scheduleTick();
     Io_.run();
-    observe::log(Level::Info, "stopped", Client_.Counters_);
+    logStopped();
     std::fflush(nullptr);
     std::quick_exit(0);
   }
@@ -318,6 +318,8 @@
       Registry_.poll();
       Copies_.poll();
       runDueWork();
+      if (Stopping_)
+        continueStop();
       if (!isStopped())
         scheduleTick();
       else
@@ -351,17 +353,48 @@
     StoppingSince_ = now();
     Service_.CloseConnections_ = true;
     Claims_.Stopping_ = true;
-    observe::log(Level::Info, "stopping", {{"slices", Slices_.size()}});
+    AnsweredBefore_ = CallerServer_->load().Answered_;
+    observe::log(Level::Info, "stopping",
+                 {{"slices", Slices_.size()},
+                  {"calls", CallerServer_->load().Unanswered_},
+                  {"connections", CallerServer_->load().Connections_}});
     tickClaims();
   }
 
-  bool isStopped() const {
+  void continueStop() {
     StopTimes Times = stopTimes(Boot_.StopGrace_);
-    if (!Stopping_ || now() - StoppingSince_ < Times.Linger_)
+    Milliseconds Since = elapsed(StoppingSince_, now());
+    if (Since >= Times.Refusal_)
+      intake::stop(Intake_);
+    if (Since < Times.Linger_)
+      return;
+    CallerServer_->drain();
+    ReadinessServer_->drain();
+  }
+
+  bool isStopped() const {
+    if (!Stopping_)
       return false;
-    bool Idle = Intake_.InFlight_ == 0 && Intake_.PendingCalls_.empty() &&
-                CallerServer_->unwritten() == 0 && Claims_.Releases_.empty();
-    return Idle || now() - StoppingSince_ > Times.Limit_;
+    http::ServerLoad Load = CallerServer_->load();
+    StopState State;
+    State.Drained_ = CallerServer_->isDrained();
+    State.Released_ = Claims_.Releases_.empty();
+    State.Answerable_ = Load.Unread_ > 0 || Load.Unanswered_ > Load.Unwritten_;
+    return mayEnd(stopTimes(Boot_.StopGrace_), elapsed(StoppingSince_, now()),
+                  State);
+  }
+
+  void logStopped() const {
+    http::ServerLoad Load = CallerServer_->load();
+    nlohmann::json Fields = Client_.Counters_;
+    Fields["after_ms"] = elapsed(StoppingSince_, now()).count();
+    Fields["answered"] = Load.Answered_ - AnsweredBefore_;
+    Fields["closed_idle"] = Load.ClosedIdle_;
+    Fields["cut_unanswered"] = Load.Unanswered_ - Load.Unwritten_;
+    Fields["cut_unwritten"] = Load.Unwritten_;
+    Fields["cut_unread"] = Load.Unread_;
+    Fields["cut_partly_read"] = Load.PartlyRead_;
+    observe::log(Level::Info, "stopped", Fields);
   }
 
 public:
@@ -376,8 +409,8 @@
   platform::Client Client_;
   LoopWatch LoopWatch_{TickInterval, *Http_};
   ReadinessLog ReadinessLog_;
-  std::unique_ptr<http::Server> ReadinessServer_;
-  std::unique_ptr<http::Server> CallerServer_;
+  std::unique_ptr<http::LoopServer> ReadinessServer_;
+  std::unique_ptr<http::LoopServer> CallerServer_;
 
   Counters Counters_;
   PeerChannel Peers_{Io_, Counters_};
@@ -422,6 +455,7 @@
   TurnTimer DueWork_{Io_, turnSpacing(0), [this] { runDueWork(); }};
   bool Stopping_ = false;
   TimePoint StoppingSince_{};
+  std::uint64_t AnsweredBefore_ = 0; ///< Answers written before the stop.
 };
 
 } // namespace
--- a/apps/pollenvale/fleet/graceful_stop.hpp
+++ b/apps/pollenvale/fleet/graceful_stop.hpp
@@ -13,8 +13,12 @@
   /// The entry serves callers at least until then, so that the balancer notices
   /// that it is not ready.
   Milliseconds Linger_{0};
-  /// The entry ends then, whatever is in flight, before it is killed.
+  /// Calls that still wait are answered then, and no others are begun.
+  Milliseconds Refusal_{0};
+  /// The entry ends then, unless calls have arrived that it can still answer.
   Milliseconds Limit_{0};
+  /// The entry ends then, whatever is in flight, before it is killed.
+  Milliseconds End_{0};
 };
 
 /// \p Grace: time from SIGTERM to SIGKILL.
@@ -22,8 +26,33 @@
   /// Two missed probes, a second apart, and the time of an answer.
   constexpr Milliseconds BalancerDelay{3'500};
   constexpr Milliseconds KillMargin{700};
-  Milliseconds Limit = std::max(Milliseconds(0), Grace - KillMargin);
-  return {std::min(BalancerDelay, Limit), Limit};
+  /// A late loop writes its answers in a few turns.
+  constexpr Milliseconds AnswerTime{400};
+  /// Logs are written.
+  constexpr Milliseconds ExitTime{150};
+  auto Before = [Grace](Milliseconds Time) {
+    return std::max(Milliseconds(0), Grace - Time);
+  };
+  Milliseconds Limit = Before(KillMargin);
+  return {std::min(BalancerDelay, Limit), Before(KillMargin + AnswerTime),
+          Limit, Before(ExitTime)};
+}
+
+/// What keeps a stopping entry.
+struct StopState {
+  bool Drained_ = false;  ///< Every call that has arrived is answered.
+  bool Released_ = false; ///< The claims are given up.
+  /// Calls that a further turn of the loop reads or answers.
+  bool Answerable_ = false;
+};
+
+/// Whether the entry ends \p Since SIGTERM.
+inline bool mayEnd(const StopTimes &T, Milliseconds Since, const StopState &S) {
+  if (Since < T.Linger_)
+    return false;
+  if (S.Drained_ && S.Released_)
+    return true;
+  return Since >= T.End_ || (Since > T.Limit_ && !S.Answerable_);
 }
 
 } // namespace pollenvale::fleet
