HTTP client: tests of the three faults that random peers showed, one each

A connection of a Fresh_ call stays open after the answer; a GET whose repetition finds no connection is NotSent though a peer read it; a body without a length that a reset cuts is Answered.

--- a/packages/http/tests/unit-broken-connection.cpp
+++ b/packages/http/tests/unit-broken-connection.cpp
@@ -74,9 +74,11 @@
 };
 
 http::ClientReply call(asio::io_context &Io, http::Client &C,
-                       const BreakingPeer &P) {
+                       const BreakingPeer &P,
+                       const std::string &Method = "POST") {
   http::ClientCall Call;
-  Call.Url_ = P.url();
+  Call.Method_ = Method;
+  Call.Url_ = P.url() + "body";
   Call.Body_ = "body";
   http::ClientReply Reply;
   C.submit(Call, [&](const http::ClientReply &R) {
@@ -116,6 +118,49 @@
   cr_assert_eq(P.Requests_, 2);
 }
 
+// Guards against the same failure of a GET, which is sent a second time.
+Test(broken_connection, a_get_that_was_read_is_not_reported_as_not_sent) {
+  asio::io_context Io;
+  auto Client = http::makeClient(Io);
+  BreakingPeer P(false);
+  cr_assert(call(Io, *Client, P, "GET").Status_ ==
+            http::ClientStatus::Answered);
+  http::ClientReply R = call(Io, *Client, P, "GET");
+  cr_assert(R.Status_ == http::ClientStatus::Lost, "status %d, %s",
+            int(R.Status_), R.Message_.c_str());
+  cr_assert_eq(P.Requests_, 2);
+}
+
+// Guards against a part of a body that is taken for the whole: an answer
+// without a length ends with its connection, but not with a reset.
+Test(broken_connection, a_reset_completes_no_answer) {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Listener(Io, {asio::ip::address_v4::loopback(), 0});
+  Socket Peer(Io);
+  asio::streambuf In;
+  Listener.async_accept(Peer, [&](std::error_code) {
+    asio::async_read_until(
+        Peer, In, "\r\n\r\n", [&](std::error_code, std::size_t) {
+          asio::write(Peer, asio::buffer("HTTP/1.1 200 OK\r\n\r\na part", 25));
+          Peer.set_option(asio::socket_base::linger(true, 0));
+          Peer.close();
+        });
+  });
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ =
+      "http://127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+  http::ClientReply Reply;
+  Reply.Status_ = http::ClientStatus::Answered;
+  Client->submit(Call, [&](const http::ClientReply &R) {
+    Reply = R;
+    Io.stop();
+  });
+  Io.run_for(milliseconds(10'000));
+  cr_assert(Reply.Status_ != http::ClientStatus::Answered, "%s",
+            Reply.Body_.c_str());
+}
+
 // Guards against the same failure of the client with its own thread.
 Test(broken_connection, a_client_with_a_thread_repeats_no_post) {
   auto Client = http::makeClient();
--- a/packages/http/tests/unit-loop-client.cpp
+++ b/packages/http/tests/unit-loop-client.cpp
@@ -200,3 +200,35 @@
   cr_assert_eq(Reply.Body_.size(), std::size_t(Parts));
   Client.reset();
 }
+
+// Guards against connections of Fresh_ calls that stay open after the answer,
+// and outlive the client.
+Test(loop_client, a_fresh_connection_ends_with_its_call) {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Listener(
+      Io, {asio::ip::address_v4::loopback(), std::uint16_t(0)});
+  asio::ip::tcp::socket Peer(Io);
+  asio::streambuf In;
+  std::error_code Seen;
+  Listener.async_accept(Peer, [&](std::error_code) {
+    asio::write(Peer, asio::buffer("HTTP/1.1 200 OK\r\n"
+                                   "Content-Length: 0\r\n\r\n",
+                                   38));
+    asio::async_read(Peer, In, [&](std::error_code Err, std::size_t) {
+      Seen = Err;
+      Io.stop();
+    });
+  });
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ =
+      "http://127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+  Call.Fresh_ = true;
+  bool Answered = false;
+  Client->submit(Call, [&](const http::ClientReply &R) {
+    Answered = R.Status_ == http::ClientStatus::Answered;
+  });
+  Io.run_for(milliseconds(10'000));
+  cr_assert(Answered);
+  cr_assert(Seen == asio::error::eof, "%s", Seen.message().c_str());
+}
