HTTP client: close the connection of a Fresh_ call after the answer

Callers saw: the connection of a Fresh_ call, which no further call uses, stayed open until the peer closed it; when the client was destroyed before, the end of that connection read the freed pool. Cause: only connections that go into the pool were considered; the others stay alive by their wait for input. Change: the client closes it.

--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -219,12 +219,18 @@
       C.Reply_ = {};
       return start(C, nullptr);
     }
-    if (End == ExchangeEnd::Answered && C.Connection_->isOpen() &&
-        !C.Call_.Fresh_)
-      Pool_.add(C.Connection_);
+    if (C.Connection_->isOpen())
+      keep(C);
     finish(C, statusOf(End));
   }
 
+  /// The connection may serve further calls.
+  void keep(PendingCall &C) {
+    if (C.Call_.Fresh_)
+      return C.Connection_->close();
+    Pool_.add(C.Connection_);
+  }
+
   /// Whether the request may be sent again although it may have been executed.
   static bool mayRepeat(const PendingCall &C) {
     return C.Call_.Method_ == "GET" &&
