HTTP client: a reset doesn't complete an answer without a length

Callers saw: Answered with a part of the body. Cause: any error on reading was taken for the end of input, which completes an answer that has no length. Change: only an orderly end completes it; after a reset the call is Truncated or Lost.

--- a/packages/http/detail/connection.hpp
+++ b/packages/http/detail/connection.hpp
@@ -67,7 +67,9 @@
   void waitReadable();
   void readAvailable();
   void handleInput(std::string_view Bytes);
-  void handleEndOfInput();
+  /// \p Orderly: the peer has sent all, which completes an answer without a
+  /// length.
+  void handleEndOfInput(bool Orderly);
   void finish(ExchangeEnd End);
   /// Bytes that can be read at once, at most 1; empty if none have arrived, 0
   /// if the connection has ended.
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -89,7 +89,7 @@
     if (Err == asio::error::would_block)
       return;
     if (Err)
-      return handleEndOfInput();
+      return handleEndOfInput(Err == asio::error::eof);
     // Without a request, there is nothing to answer.
     if (!OnEnd_)
       return finish(ExchangeEnd::Lost);
@@ -108,10 +108,10 @@
     finish(ExchangeEnd::Answered);
 }
 
-void Connection::handleEndOfInput() {
+void Connection::handleEndOfInput(bool Orderly) {
   if (!OnEnd_ || Written_ == 0)
     return finish(ExchangeEnd::NothingSent);
-  if (Parser_.parseEnd())
+  if (Orderly && Parser_.parseEnd())
     return finish(ExchangeEnd::Answered);
   finish(Parser_.hasHead() ? ExchangeEnd::Truncated : ExchangeEnd::Lost);
 }
