HTTP client: a repeated GET is not reported as not sent

Callers saw: NotSent for a GET that a peer had read, when the kept connection broke and its repetition found no connection. Cause: the outcome was that of the second connection alone. Change: a call remembers that it was sent before and ends with Lost, or with Timeout at its limit.

--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -28,7 +28,8 @@
   ClientReply Reply_;
   detail::Url Url_;
   std::shared_ptr<Connection> Connection_;
-  bool Reused_ = false; ///< The connection has served other calls.
+  bool Reused_ = false;   ///< The connection has served other calls.
+  bool Repeated_ = false; ///< It was sent before, on a connection that broke.
   bool Ended_ = false;
   Clock::time_point DeadlineAt_{}; ///< End of the whole call.
   CallsByLimit::iterator Position_;
@@ -217,11 +218,12 @@
                                (End == ExchangeEnd::Lost && mayRepeat(C)));
     if (Retry) {
       C.Reply_ = {};
+      C.Repeated_ = End == ExchangeEnd::Lost;
       return start(C, nullptr);
     }
     if (C.Connection_->isOpen())
       keep(C);
-    finish(C, statusOf(End));
+    finish(C, statusOf(C, End));
   }
 
   /// The connection may serve further calls.
@@ -237,13 +239,13 @@
            C.Connection_->receivedAt() == Clock::time_point{};
   }
 
-  static ClientStatus statusOf(ExchangeEnd End) {
+  static ClientStatus statusOf(const PendingCall &C, ExchangeEnd End) {
     switch (End) {
     case ExchangeEnd::Answered:
       return ClientStatus::Answered;
     case ExchangeEnd::NotConnected:
     case ExchangeEnd::NothingSent:
-      return ClientStatus::NotSent;
+      return C.Repeated_ ? ClientStatus::Lost : ClientStatus::NotSent;
     case ExchangeEnd::Truncated:
       return ClientStatus::Truncated;
     case ExchangeEnd::Lost:
@@ -325,7 +327,8 @@
     }
     Stats_.Unread_ += Used->hasUnreadBytes();
     Used->close();
-    finish(C, SentAt ? ClientStatus::Timeout : ClientStatus::NotSent);
+    bool Sent = SentAt || C.Repeated_;
+    finish(C, Sent ? ClientStatus::Timeout : ClientStatus::NotSent);
   }
 
   asio::io_context &Io_;
