--- a/packages/http/detail/served_socket.hpp
+++ b/packages/http/detail/served_socket.hpp
@@ -35,6 +35,8 @@
 /// from the loop alone and all others by moving them.
 struct NextSockets : asio::execution_context::service {
   using key_type = NextSockets;
+  /// The name is Asio's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   inline static asio::execution_context::id id;
   explicit NextSockets(asio::execution_context &Context)
       : asio::execution_context::service(Context) {}
