--- a/packages/http/tests/unit-loop-client.cpp
+++ b/packages/http/tests/unit-loop-client.cpp
@@ -232,3 +232,17 @@
   cr_assert(Answered);
   cr_assert(Seen == asio::error::eof, "%s", Seen.message().c_str());
 }
+
+// Guards against a call with an invalid URL that ends after its client has been
+// destroyed.
+Test(loop_client, no_call_ends_after_the_client) {
+  asio::io_context Io;
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ = "no URL";
+  bool Ended = false;
+  Client->submit(Call, [&](const http::ClientReply &) { Ended = true; });
+  Client.reset();
+  Io.run_for(milliseconds(100));
+  cr_assert_not(Ended);
+}
--- a/packages/http/tests/unit-random-peers.cpp
+++ b/packages/http/tests/unit-random-peers.cpp
@@ -422,7 +422,7 @@
   }
 
   void submit() {
-    if (Submitted_ == Most || Open_.size() >= MostOpen)
+    if (!Client_ || Submitted_ == Most || Open_.size() >= MostOpen)
       return;
     std::string Id = std::to_string(++Submitted_);
     http::ClientCall New = anyCall(Id);
