HTTP client: a call with an invalid URL doesn't end after the client

Callers saw: the handler of such a call ran after the client was destroyed. Cause: its end is posted on the loop and didn't ask whether the client lives. Change: it asks, as the timer of the limits does.

--- a/packages/http/src/loop_client.cpp
+++ b/packages/http/src/loop_client.cpp
@@ -169,12 +169,15 @@
   /// No handler may run within submit().
   void rejectUrl(ClientDone Done) {
     ++Stats_.NotSent_;
-    asio::post(Io_, [Done = std::move(Done)] {
-      ClientReply Reply;
-      Reply.Status_ = ClientStatus::NotSent;
-      Reply.Message_ = "the URL is invalid";
-      Done(std::move(Reply));
-    });
+    asio::post(Io_,
+               [Done = std::move(Done), Alive = std::weak_ptr<bool>(Alive_)] {
+                 if (Alive.expired())
+                   return;
+                 ClientReply Reply;
+                 Reply.Status_ = ClientStatus::NotSent;
+                 Reply.Message_ = "the URL is invalid";
+                 Done(std::move(Reply));
+               });
   }
 
   /// Sends the call on \p Idle or, if it is null, on a new connection.
