--- a/packages/http/tests/unit-random-peers.cpp
+++ b/packages/http/tests/unit-random-peers.cpp
@@ -271,9 +271,8 @@
 class Peer {
 public:
   Peer(asio::io_context &Io, Chance &Random, Log &Seen)
-      : Io_(Io), Acceptor_(Io, {asio::ip::address_v4::loopback(), 0}),
-        Timer_(Io), Address_(Acceptor_.local_endpoint()), Random_(Random),
-        Seen_(Seen) {
+      : Acceptor_(Io, {asio::ip::address_v4::loopback(), 0}), Timer_(Io),
+        Address_(Acceptor_.local_endpoint()), Random_(Random), Seen_(Seen) {
     accept();
     switchLater();
   }
@@ -317,7 +316,6 @@
     accept();
   }
 
-  asio::io_context &Io_;
   asio::ip::tcp::acceptor Acceptor_;
   asio::steady_timer Timer_;
   asio::ip::tcp::endpoint Address_;
