HTTP client: a reset noticed while writing doesn't complete an answer

Cause: a reset is told to the first operation on the socket; if that is the writing of the rest of the request, the read that follows sees an orderly end, which completes an answer without a length. Change: a call whose writing has failed takes no end for an orderly one.

--- a/packages/http/detail/connection.hpp
+++ b/packages/http/detail/connection.hpp
@@ -86,6 +86,7 @@
   OnEnd OnEnd_;
   std::string Request_;
   std::size_t Written_ = 0;
+  bool WriteFailed_ = false; ///< An error ended the writing.
   ResponseParser Parser_;
   Clock::time_point ReadyAt_{};
   Clock::time_point ReceivedAt_{};
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -37,6 +37,7 @@
 void Connection::send(std::string Request, ClientReply &Reply, OnEnd Done) {
   Request_ = std::move(Request);
   Written_ = 0;
+  WriteFailed_ = false;
   ReceivedAt_ = {};
   Parser_.begin(Reply);
   OnEnd_ = std::move(Done);
@@ -55,7 +56,9 @@
     Written_ += Socket_.write_some(
         asio::buffer(Request_.data() + Written_, Request_.size() - Written_),
         Err);
-  // A broken connection is noticed, and reported, by the wait for input.
+  // A broken connection is reported by the wait for input, to which it may look
+  // like an orderly end: the error is told only once.
+  WriteFailed_ = Err && Err != asio::error::would_block;
   if (Err != asio::error::would_block || WaitingToWrite_)
     return;
   WaitingToWrite_ = true;
@@ -111,7 +114,7 @@
 void Connection::handleEndOfInput(bool Orderly) {
   if (!OnEnd_ || Written_ == 0)
     return finish(ExchangeEnd::NothingSent);
-  if (Orderly && Parser_.parseEnd())
+  if (Orderly && !WriteFailed_ && Parser_.parseEnd())
     return finish(ExchangeEnd::Answered);
   finish(Parser_.hasHead() ? ExchangeEnd::Truncated : ExchangeEnd::Lost);
 }
--- a/packages/http/tests/unit-broken-connection.cpp
+++ b/packages/http/tests/unit-broken-connection.cpp
@@ -161,6 +161,43 @@
             Reply.Body_.c_str());
 }
 
+// Guards against the same failure where the reset is told to a request that is
+// still being written: what is read next looks like an orderly end.
+Test(broken_connection, a_reset_while_writing_completes_no_answer) {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Listener(Io, {asio::ip::address_v4::loopback(), 0});
+  Socket Peer(Io);
+  asio::streambuf In;
+  asio::steady_timer Reset(Io);
+  Listener.async_accept(Peer, [&](std::error_code) {
+    // The rest of the request stays unread and fills the buffers.
+    asio::async_read_until(
+        Peer, In, "\r\n\r\n", [&](std::error_code, std::size_t) {
+          asio::write(Peer, asio::buffer("HTTP/1.1 200 OK\r\n\r\na part", 25));
+          Reset.expires_after(milliseconds(200));
+          Reset.async_wait([&](std::error_code) {
+            Peer.set_option(asio::socket_base::linger(true, 0));
+            Peer.close();
+          });
+        });
+  });
+  auto Client = http::makeClient(Io);
+  http::ClientCall Call;
+  Call.Url_ =
+      "http://127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+  constexpr std::size_t LargeBody = 32u << 20;
+  Call.Body_ = std::string(LargeBody, 'x');
+  http::ClientReply Reply;
+  Reply.Status_ = http::ClientStatus::Answered;
+  Client->submit(Call, [&](const http::ClientReply &R) {
+    Reply = R;
+    Io.stop();
+  });
+  Io.run_for(milliseconds(10'000));
+  cr_assert(Reply.Status_ != http::ClientStatus::Answered, "%s",
+            Reply.Body_.c_str());
+}
+
 // Guards against the same failure of the client with its own thread.
 Test(broken_connection, a_client_with_a_thread_repeats_no_post) {
   auto Client = http::makeClient();
