--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -171,7 +171,7 @@
   const char *releaseReason(const ownership::Write &W) const {
     if (W.Record_.Value_.empty())
       return "retired";
-    return Stopping_ ? "stopping" : "overloaded";
+    return Stop_ ? "stopping" : "overloaded";
   }
 
   void writeClaim(ownership::Write W) {
@@ -270,8 +270,8 @@
   }
 
   Readiness readiness() const {
-    return readinessOf({Stopping_, Config_.Known_, ClaimTail_.Loaded_}, Intake_,
-                       now());
+    return readinessOf({Stop_.has_value(), Config_.Known_, ClaimTail_.Loaded_},
+                       Intake_, now());
   }
 
   void postDueWork() { DueWork_.request(); }
@@ -318,12 +318,12 @@
       Registry_.poll();
       Copies_.poll();
       runDueWork();
-      if (Stopping_)
-        continueStop();
-      if (!isStopped())
-        scheduleTick();
-      else
+      if (Stop_)
+        Stop_->proceed();
+      if (Stop_ && Stop_->mayEnd(Claims_.Releases_.empty()))
         Io_.stop();
+      else
+        scheduleTick();
     });
   }
 
@@ -347,53 +347,18 @@
   }
 
   void beginStop() {
-    if (Stopping_)
+    if (Stop_)
       return;
-    Stopping_ = true;
-    StoppingSince_ = now();
     Service_.CloseConnections_ = true;
     Claims_.Stopping_ = true;
-    AnsweredBefore_ = CallerServer_->load().Answered_;
-    observe::log(Level::Info, "stopping",
-                 {{"slices", Slices_.size()},
-                  {"calls", CallerServer_->load().Unanswered_},
-                  {"connections", CallerServer_->load().Connections_}});
+    Stop_.emplace(*CallerServer_, *ReadinessServer_, Intake_, Boot_.StopGrace_,
+                  Slices_.size());
     tickClaims();
   }
 
-  void continueStop() {
-    StopTimes Times = stopTimes(Boot_.StopGrace_);
-    Milliseconds Since = elapsed(StoppingSince_, now());
-    if (Since >= Times.Refusal_)
-      intake::stop(Intake_);
-    if (Since < Times.Linger_)
-      return;
-    CallerServer_->drain();
-    ReadinessServer_->drain();
-  }
-
-  bool isStopped() const {
-    if (!Stopping_)
-      return false;
-    http::ServerLoad Load = CallerServer_->load();
-    StopState State;
-    State.Drained_ = CallerServer_->isDrained();
-    State.Released_ = Claims_.Releases_.empty();
-    State.Answerable_ = Load.Unread_ > 0 || Load.Unanswered_ > Load.Unwritten_;
-    return mayEnd(stopTimes(Boot_.StopGrace_), elapsed(StoppingSince_, now()),
-                  State);
-  }
-
   void logStopped() const {
-    http::ServerLoad Load = CallerServer_->load();
     nlohmann::json Fields = Client_.Counters_;
-    Fields["after_ms"] = elapsed(StoppingSince_, now()).count();
-    Fields["answered"] = Load.Answered_ - AnsweredBefore_;
-    Fields["closed_idle"] = Load.ClosedIdle_;
-    Fields["cut_unanswered"] = Load.Unanswered_ - Load.Unwritten_;
-    Fields["cut_unwritten"] = Load.Unwritten_;
-    Fields["cut_unread"] = Load.Unread_;
-    Fields["cut_partly_read"] = Load.PartlyRead_;
+    Fields.update(Stop_->summary());
     observe::log(Level::Info, "stopped", Fields);
   }
 
@@ -453,9 +418,7 @@
       [this](const ownership::SliceName &Slice) { return contextFor(Slice); }};
 
   TurnTimer DueWork_{Io_, turnSpacing(0), [this] { runDueWork(); }};
-  bool Stopping_ = false;
-  TimePoint StoppingSince_{};
-  std::uint64_t AnsweredBefore_ = 0; ///< Answers written before the stop.
+  std::optional<GracefulStop> Stop_; ///< Set by SIGTERM.
 };
 
 } // namespace
--- a/apps/pollenvale/fleet/graceful_stop.hpp
+++ b/apps/pollenvale/fleet/graceful_stop.hpp
@@ -1,10 +1,12 @@
 /// \file
-/// How long an entry goes on serving after SIGTERM.
+/// How an entry goes on serving after SIGTERM, and when it ends.
 #pragma once
 
-#include "base/base.hpp"
+#include "http/http.hpp"
+#include "intake/intake.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace pollenvale::fleet {
 
@@ -55,4 +57,30 @@
   return Since >= T.End_ || (Since > T.Limit_ && !S.Answerable_);
 }
 
+/// A stop in progress. All arguments must outlive it.
+class GracefulStop {
+public:
+  /// Begins the stop, and logs that. \p Grace: time from SIGTERM to SIGKILL.
+  GracefulStop(http::LoopServer &Callers, http::LoopServer &Readiness,
+               intake::Intake &Intake, Milliseconds Grace, std::size_t Slices);
+
+  /// Answers what still waits and closes what is idle, when their times have
+  /// come. To be called at intervals.
+  void proceed();
+  /// Whether the process may end. \p Released: the claims are given up.
+  bool mayEnd(bool Released) const;
+  /// Log fields that tell how the stop went.
+  nlohmann::json summary() const;
+
+private:
+  Milliseconds elapsedSince() const;
+
+  http::LoopServer &Callers_;
+  http::LoopServer &Readiness_;
+  intake::Intake &Intake_;
+  StopTimes Times_;
+  TimePoint Since_{};
+  std::uint64_t AnsweredBefore_ = 0; ///< Answers written before the stop.
+};
+
 } // namespace pollenvale::fleet
