--- a/packages/advice/tests/unit-pool.cpp
+++ b/packages/advice/tests/unit-pool.cpp
@@ -61,6 +61,35 @@
     cr_assert_eq(D.Entry_, "b");
 }
 
+// Guards against LOST: once its peers had been out of reach for a moment, an
+// owner made all calls that were to be made again itself, one after the other.
+Test(pool, calls_made_again_use_peers_that_are_no_longer_avoided) {
+  constexpr Milliseconds Duration{150};
+  constexpr Milliseconds IdleLimit{3'000};
+  Pool P = makePool("c");
+  setPeers(P, {"a", "b", "d", "e", "f"});
+  for (int I = 0; I < 6; ++I)
+    enqueue(P, call(0, 70), T0);
+  for (const Dispatch &D : dispatch(P, T0))
+    if (D.Entry_ == "c")
+      finish(P, D.Id_, true, T0 + Milliseconds(70));
+  TimePoint Back = T0 + Milliseconds(3'000);
+  cr_assert_eq(expire(P, Back).size(), 5u);
+  // The peers are back and no longer avoided; all calls are made again.
+  TimePoint Now = Back + Milliseconds(2'100);
+  constexpr std::size_t Count = 40;
+  for (std::size_t I = 0; I < Count; ++I) {
+    AdviceCall C = call(0, int(Duration.count()));
+    C.Retried_ = true;
+    enqueue(P, std::move(C), Now);
+  }
+  std::size_t Answered = 0;
+  for (TimePoint End = Now + IdleLimit; Now < End; Now += Duration)
+    for (const Dispatch &D : dispatch(P, Now))
+      Answered += finish(P, D.Id_, true, Now + Duration).has_value();
+  cr_assert_eq(Answered, Count);
+}
+
 Test(pool, an_answer_to_an_expired_call_is_ignored) {
   Pool P = makePool("a");
   enqueue(P, call(0, 20), T0);
--- a/packages/http/tests/unit-draining.cpp
+++ b/packages/http/tests/unit-draining.cpp
@@ -42,6 +42,7 @@
   }
 
   milliseconds AnswerTime_{0}; ///< Time that the handler takes.
+  milliseconds WorkTime_{0};   ///< Time in which the handler keeps the loop.
   std::uint16_t Port_ = freePort();
   std::size_t Requests_ = 0;
   asio::io_context Io_{1};
@@ -49,6 +50,7 @@
       Io_, {"127.0.0.1", Port_, 1},
       [this](const http::ServerRequest &, const http::Responder &Respond) {
         ++Requests_;
+        std::this_thread::sleep_for(WorkTime_);
         answer(Respond);
       });
 
@@ -261,3 +263,30 @@
     cr_expect_gt(Answered, 4);
   }
 }
+
+// Guards against a stop that only its time limit ends, with calls cut off:
+// while new connections keep a loop busy, one always waits to be accepted, so
+// that the listener is never closed.
+Test(draining, a_stream_of_new_connections_does_not_keep_the_process) {
+  constexpr int Count = 24;
+  std::optional<Process> P(std::in_place);
+  P->WorkTime_ = milliseconds(2);
+  std::atomic<bool> Ended{false};
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < Count; ++I)
+    Callers.emplace_back([&, Port = P->Port_] {
+      while (!Ended) {
+        Caller C(Port);
+        if (C.Refused_)
+          return;
+        C.send(Request);
+        C.readAnswer();
+      }
+    });
+  P->runFor(milliseconds(100));
+  cr_expect(P->runToEnd());
+  Ended = true;
+  P.reset();
+  for (std::thread &T : Callers)
+    T.join();
+}
--- a/packages/scheduler/tests/unit-permits.cpp
+++ b/packages/scheduler/tests/unit-permits.cpp
@@ -1,6 +1,7 @@
 /// Queues whose tasks need permits of the placement policy.
 #include "fleet/fleet_cell.hpp"
 #include "scheduler/detail/placing.hpp"
+#include "scheduler/detail/tasks.hpp"
 
 #include <criterion/criterion.h>
 
@@ -147,3 +148,68 @@
       },
       FinishTime));
 }
+
+// Guards against LOST: a denial outlived a worker that left and came back under
+// its id, so the policy was not asked about the present incarnation.
+Test(permits, a_worker_that_left_and_came_back_is_asked_about_again) {
+  AskingCell C;
+  C.Allows_ = [](const WorkerId &W) { return W == "a"; };
+  C.setRunTime(Milliseconds(90'000));
+  C.submit("j1", plainJob({plainStep(9)}));
+  C.run(Milliseconds(6'000));
+  cr_assert_eq(C.whereIs({{"j1", 0, 0}, 8}).size(), 0u);
+  C.crash("b", Milliseconds(3'000));
+  cr_assert(
+      C.runUntil([&] { return C.owner().State_.Workers_.count("b") == 0; }));
+  C.Allows_ = [](const WorkerId &W) { return W == "a" || W == "b"; };
+  C.worker("b").Alive_ = C.worker("b").Listed_ = true;
+  C.restartWorker("b");
+  cr_assert(C.runUntil(
+      [&] {
+        return !C.whereIs({{"j1", 0, 0}, 8}).empty();
+      },
+      FinishTime));
+}
+
+// Guards against LOST: a start with the permit of a former incarnation was
+// refused, which made the worker count as permitted again; the policy was asked
+// about it alone and each denial was ignored.
+Test(permits, a_refused_old_permit_keeps_no_step_from_other_workers) {
+  AskingCell C;
+  C.Catalog_.Queues_[0].Advice_ = workflow::AdvicePolicy{20, 10, 2'000};
+  scheduler::onCatalog(C.owner().State_, C.Catalog_);
+  C.Allows_ = [](const WorkerId &W) { return W == "a"; };
+  C.run(Milliseconds(1'000));
+  C.setRunTime(Milliseconds(90'000));
+  C.submit("j1", plainJob({plainStep(1)}));
+  scheduler::State &State = C.owner().State_;
+  TaskId Task{{"j1", 0, 0}, 0};
+  auto RunOf = [&] {
+    scheduler::Task *T = scheduler::detail::findTask(State, Task);
+    return T && T->Run_ ? &*T->Run_ : nullptr;
+  };
+  cr_assert(C.runUntil([&] { return RunOf() != nullptr; }));
+  WorkerId First = RunOf()->Worker_;
+  cr_assert_eq(First, "a");
+  C.Allows_ = [](const WorkerId &W) { return W == "d"; };
+  C.restartWorker(First, Milliseconds(0));
+  scheduler::RenewCall Renewal{{First, First + ":1", C.owner().Token_}};
+  scheduler::RenewReply Known;
+  Known.Status_ = scheduler::CallStatus::Done;
+  Known.StartedUnixMs_ = C.worker(First).Info_.StartedUnixMs_;
+  Known.Clock_ = clockOf(C.worker(First), C.Now_);
+  scheduler::Outbox Out;
+  scheduler::onRenewReply(State, Renewal, Known, C.Now_, C.Now_, Out);
+  cr_assert(RunOf() != nullptr && RunOf()->InFlight_);
+  scheduler::StartCall Start;
+  Start.Target_ = Renewal.Target_;
+  Start.Task_ = Task;
+  Start.Run_ = RunOf()->Number_;
+  scheduler::onStartReply(State, Start, {scheduler::CallStatus::NoPermit, {}},
+                          C.Now_, Out);
+  auto RunsElsewhere = [&] {
+    std::vector<WorkerId> Where = C.whereIs(Task);
+    return Where.size() == 1 && Where.front() != First;
+  };
+  cr_assert(C.runUntil(RunsElsewhere, FinishTime));
+}
--- a/packages/scheduler/tests/unit-services.cpp
+++ b/packages/scheduler/tests/unit-services.cpp
@@ -291,3 +291,30 @@
   constexpr Milliseconds IdleLimit{3'000};
   cr_assert(C.runUntil([&] { return C.runs("s3"); }, IdleLimit));
 }
+
+// Guards against LOST: each of several services that wait for long tasks to end
+// reserved another worker as a whole, until no small task could start anywhere
+// although more than half of the room was free.
+Test(services, several_without_room_leave_workers_to_smaller_tasks) {
+  FleetCell C({"a", "b", "c", "d", "e", "f", "g", "h"});
+  C.takeOver();
+  C.setRunTime(Milliseconds(90'000));
+  workflow::StepSpec Long = plainStep(8);
+  Long.Size_.Cpu_ = 3'000;
+  Long.MaxPerWorker_ = 1;
+  C.submit("long", plainJob({Long}));
+  C.run(Milliseconds(1'000));
+  workflow::StepSpec Serve = plainStep(1);
+  Serve.Size_.Cpu_ = 6'000;
+  Serve.LongRunning_ = true;
+  for (int I = 0; I < 8; ++I)
+    C.submit("s" + std::to_string(I), plainJob({Serve}));
+  C.run(Milliseconds(1'000));
+  C.submit("small", plainJob({plainStep(1)}));
+  constexpr Milliseconds IdleLimit{3'000};
+  cr_assert(C.runUntil(
+      [&] {
+        return !C.whereIs({{"small", 0, 0}, 0}).empty();
+      },
+      IdleLimit));
+}
