--- a/packages/scheduler/tests/unit-restarts.cpp
+++ b/packages/scheduler/tests/unit-restarts.cpp
@@ -123,3 +123,61 @@
   scheduler::onRenewReply(State, Renewal, Reply, C.Now_, C.Now_, Out);
   cr_assert(RunOf() != nullptr);
 }
+
+namespace {
+
+/// A cell whose worker "a" answers so late that its first start is repeated.
+/// Its run fails at once, "a" restarts with a list of that end on the way, and
+/// the repeated start begins the run again.
+struct RepeatedStartCell : IdleCell {
+  RepeatedStartCell() {
+    FateOf_ = [this](const TaskId &, std::uint32_t) {
+      return Starts_.empty() ? Fate{Milliseconds(20), EndKind::Failed}
+                             : Fate{Milliseconds(10'000)};
+    };
+    worker("a").AnswerDelay_ = Milliseconds(600);
+    cr_assert(
+        runUntil([&] { return a().Misses_ == 1 && !a().RenewInFlight_; }));
+    submit("j1", plainJob({plainStep(1)}));
+    cr_assert(runUntil([&] { return a().RenewInFlight_; }));
+    run(Milliseconds(20));
+    cr_assert_eq(worker("a").Ends_.size(), 1u);
+    restartWorker("a", Milliseconds(300));
+    cr_assert(runUntil([&] { return !whereIs({{"j1", 0, 0}, 0}).empty(); }));
+    cr_assert_eq(Starts_.size(), 2u);
+    addWorker("b");
+  }
+
+  /// What the owner knows of "a".
+  scheduler::Worker &a() { return owner().State_.Workers_.at("a"); }
+
+  void assertRulesKept() {
+    cr_assert(Broken_.empty(), "%s", Broken_.front().c_str());
+    cr_assert(runUntil([&] { return state("j1") == JobState::Completed; }));
+  }
+};
+
+} // namespace
+
+// Guards against TWICE: the list of the former incarnation is read between two
+// sendings of the start, so the task starts elsewhere beside its run.
+Test(restarts, a_late_list_does_not_end_a_run_begun_again_without_an_answer) {
+  RepeatedStartCell C;
+  C.run(Milliseconds(5'000));
+  C.assertRulesKept();
+}
+
+// Guards against TWICE: the same if the restarted worker has accepted the start
+// by then.
+Test(restarts, a_late_list_does_not_end_a_run_that_was_accepted_again) {
+  RepeatedStartCell C;
+  C.worker("a").AnswerDelay_ = Milliseconds(0);
+  const scheduler::Task &T =
+      *scheduler::detail::findTask(C.owner().State_, {{"j1", 0, 0}, 0});
+  cr_assert(C.runUntil(
+      [&] { return T.Run_ && T.Run_->Phase_ == scheduler::RunPhase::Running; },
+      Milliseconds(200)));
+  cr_assert(C.a().RenewInFlight_, "the list is on the way");
+  C.run(Milliseconds(5'000));
+  C.assertRulesKept();
+}
