Steps without room reserve at most a quarter of the workers as a whole

One step at a time may reserve a worker, and others only while less than a quarter is reserved; a step keeps its reservation until it has another.

--- a/packages/scheduler/detail/placement_pass.hpp
+++ b/packages/scheduler/detail/placement_pass.hpp
@@ -58,7 +58,8 @@
 void reserveAdvisedWorkers(Pass &Pass, const AdviceCall &Call,
                            const Resources &Size);
 /// Reserves the worker with the most free resources for the step, of those that
-/// no other step has as a whole and on which a task will fit.
+/// no other step has as a whole and on which a task will fit. Does nothing if
+/// other steps have a quarter of the workers.
 void reserveFreestWorker(Pass &Pass, const WaitingStep &Ready);
 /// Whether a worker may be reserved for the step: small tasks would refill it
 /// before a large one fits. At most a quarter of the workers are reserved.
--- a/packages/scheduler/src/placement_pass.cpp
+++ b/packages/scheduler/src/placement_pass.cpp
@@ -188,11 +188,16 @@
 
 namespace {
 
-/// Workers that are reserved as a whole.
-std::set<std::string_view> wholeReservations(const State &State) {
+/// One in so many workers may be reserved as a whole, so that steps without
+/// room leave most workers to smaller tasks.
+constexpr std::size_t WorkersPerReserved = 4;
+
+/// Workers that other steps than \p Id have reserved as a whole.
+std::set<std::string_view> reservedByOthers(const State &State,
+                                            const StepId &Id) {
   std::set<std::string_view> Out;
   for (const Reservation &R : State.Reservations_)
-    if (R.Whole_)
+    if (R.Whole_ && !(R.Step_ == Id))
       Out.insert(R.Worker_);
   return Out;
 }
@@ -213,9 +218,11 @@
 
 void reserveFreestWorker(Pass &Pass, const WaitingStep &Ready) {
   constexpr Milliseconds MaxHold{300};
-  dropReservations(Pass, Ready.Id_);
   // Two steps with the same worker would keep each other from it.
-  std::set<std::string_view> Taken = wholeReservations(Pass.State_);
+  auto Taken = reservedByOthers(Pass.State_, Ready.Id_);
+  if (!Taken.empty() &&
+      (Taken.size() + 1) * WorkersPerReserved > Pass.State_.Workers_.size())
+    return;
   const OpenWorker *Best = nullptr;
   std::tuple<bool, std::int64_t, std::int64_t> BestRank;
   for (const OpenWorker &O : Pass.Open_) {
@@ -237,12 +244,12 @@
   if (!Best)
     return;
   const WorkerInfo &Info = Best->Worker_->Info_;
+  dropReservations(Pass, Ready.Id_);
   addReservation(
       Pass, {Ready.Id_, Info.Id_, Info.Capacity_, Pass.Now_ + MaxHold, true});
 }
 
 bool mayReserve(const Pass &Pass, const WaitingStep &Ready) {
-  constexpr std::size_t WorkersPerReserved = 4;
   const State &State = Pass.State_;
   std::int64_t Needed = Ready.Spec_->Size_.Accelerators_;
   if (Pass.Now_ > dueAt(*Ready.Job_, *Ready.Occurrence_) || Needed == 0)
