--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -116,6 +116,9 @@
 /// Records a missing answer. Shortens the timeouts of calls for a while, unless
 /// the owner is late itself and may have missed the answer for that reason.
 void recordLostAnswer(State &State, TimePoint Now);
+/// Forgets what the placement policy said of the worker: a later incarnation
+/// may be of another kind, and knows none of its permits.
+void forgetAdvice(State &State, const WorkerId &Id);
 /// Records that a lease of \p Length is granted now.
 void extendLease(State &State, Worker &W, Milliseconds Length, TimePoint Now);
 /// Abandons the runs on silent workers whose leases have expired, and forgets
--- a/packages/scheduler/src/renewals.cpp
+++ b/packages/scheduler/src/renewals.cpp
@@ -234,17 +234,6 @@
   extendLease(State, W, State.Options_.MaxLease_, Now);
 }
 
-/// Forgets what the placement policy said of the former incarnation: the
-/// present one may be of another kind, and knows none of its permits.
-void forgetAdvice(State &State, const WorkerId &Id) {
-  for (auto &[JobName, J] : State.Jobs_)
-    for (auto &[Number, O] : J.Open_)
-      for (Step &Step : O.Steps_) {
-        Step.Denied_.erase(Id);
-        Step.Permits_.erase(Id);
-      }
-}
-
 /// Resets what belongs to the former incarnation if the worker has restarted.
 void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
                        const RenewReply &Reply, TimePoint Now) {
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -63,6 +63,15 @@
     State.LossyUntil_ = Now + LossyDuration;
 }
 
+void forgetAdvice(State &State, const WorkerId &Id) {
+  for (auto &[JobName, J] : State.Jobs_)
+    for (auto &[Number, O] : J.Open_)
+      for (Step &Step : O.Steps_) {
+        Step.Denied_.erase(Id);
+        Step.Permits_.erase(Id);
+      }
+}
+
 void extendLease(State &State, Worker &W, Milliseconds Length, TimePoint Now) {
   Length = std::min(Length, State.Options_.MaxLease_);
   auto LongestOnClock =
@@ -100,6 +109,8 @@
     if (Lapsed && !W.InRegistry_ && W.Tasks_.empty() && !W.RenewInFlight_ &&
         !State.UnconfirmedWorkers_.count(It->first)) {
       State.RenewalQueue_.erase({W.RenewDueAt_, It->first});
+      // It may come back under its id.
+      forgetAdvice(State, It->first);
       It = State.Workers_.erase(It);
       State.RosterDirty_ = true;
     } else {
