--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -56,6 +56,17 @@
   count(State.Counters_, "run-number-skipped");
 }
 
+/// The worker refused the permit. The step may hold none for it any more, or
+/// the policy's word on a later incarnation.
+void expirePermit(State &State, const StartCall &Call) {
+  Step *Step = detail::findStep(State, Call.Task_.Step_);
+  if (!Step)
+    return;
+  auto Permit = Step->Permits_.find(Call.Target_.Worker_);
+  if (Permit != Step->Permits_.end())
+    Permit->second.ExpiresAt_ = {};
+}
+
 void handleStartAccepted(State &State, const StartCall &Call, Run &R,
                          TimePoint Now) {
   R.Phase_ = RunPhase::Running;
@@ -135,8 +146,7 @@
       detail::scheduleRenewal(State, W, Now);
     return;
   case CallStatus::NoPermit:
-    if (Step *Step = detail::findStep(State, Call.Task_.Step_))
-      Step->Permits_[Call.Target_.Worker_].ExpiresAt_ = {};
+    expirePermit(State, Call);
     break;
   case CallStatus::NoRoom:
   case CallStatus::Unhealthy:
