--- a/packages/advice/src/pool.cpp
+++ b/packages/advice/src/pool.cpp
@@ -27,24 +27,18 @@
   return Load.Contact_ == Contact::Answers;
 }
 
-bool anyAnswers(const Pool &Calls) {
-  return std::any_of(Calls.Entries_.begin(), Calls.Entries_.end(),
-                     [](const auto &Entry) { return answers(Entry.second); });
-}
-
 /// Entry with the least backlog among those that may make \p Call; null if all
 /// of them are busy or avoided. Silent entries come last. A call that is made
-/// again goes to an entry that answers, reserved or not: peers that have left
-/// for good stay listed, and a step must not try one after the other. Sets
-/// \p Address to its address.
+/// again prefers entries that answer, reserved or not: peers that have left for
+/// good stay listed. Sets \p Address to its address.
 EntryLoad *chooseEntry(Pool &Calls, const AdviceCall &Call, TimePoint Now,
                        std::string &Address) {
   std::size_t Reserved = Calls.Entries_.size() / EntriesPerReserved;
   std::size_t Rank = 0;
-  bool NeedsAnswer = Call.Retried_ && anyAnswers(Calls);
   EntryLoad *Best = nullptr;
-  auto RankOf = [](const EntryLoad &Load) {
-    return std::pair(Load.Contact_ == Contact::Silent, Load.Backlog_);
+  auto RankOf = [&](const EntryLoad &Load) {
+    return std::tuple(Call.Retried_ && !answers(Load),
+                      Load.Contact_ == Contact::Silent, Load.Backlog_);
   };
   for (auto &[Candidate, Load] : Calls.Entries_) {
     bool IsReserved = Rank++ < Reserved;
@@ -52,8 +46,6 @@
       continue;
     if (IsReserved && !Call.Retried_ && Call.Expected_ > LongCallTime)
       continue;
-    if (NeedsAnswer && !answers(Load))
-      continue;
     if (Best && RankOf(*Best) <= RankOf(Load))
       continue;
     Best = &Load;
