Server: a stream of new connections doesn't keep its listener open

After half a second of that it is closed all the same: what waited at first has been accepted by then.

--- a/packages/http/detail/loop.hpp
+++ b/packages/http/detail/loop.hpp
@@ -26,8 +26,9 @@
 /// loop's thread.
 class LoopServer : public Server {
 public:
-  /// Closes the listener once no connection waits to be accepted, and each
-  /// connection without a request. To be called at intervals until isDrained().
+  /// Closes the listener once no connection waits to be accepted, or new ones
+  /// have kept coming for a while, and each connection without a request. To
+  /// be called at intervals until isDrained().
   virtual void drain() = 0;
   /// Whether every request that has reached this host is answered. The loop may
   /// be stopped then.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -196,9 +196,10 @@
     // A connection that was accepted before the listener is closed is in the
     // set when the loop comes to the next call.
     Closed_ = !Listener_->is_open();
-    if (!Closed_ && !detail::hasInput(Listener_->native_handle()))
+    TimePoint Now = std::chrono::steady_clock::now();
+    if (!Closed_ && mayCloseListener(Now))
       Listener_->close();
-    ClosedIdle_ += Sockets_->closeIdle(std::chrono::steady_clock::now());
+    ClosedIdle_ += Sockets_->closeIdle(Now);
   }
 
   bool isDrained() const override {
@@ -222,6 +223,17 @@
 private:
   using LoopHttpServer = restinio::http_server_t<LoopTraits>;
 
+  /// Whether no connection waits to be accepted, or new ones keep coming: those
+  /// that waited at first have been accepted meanwhile.
+  bool mayCloseListener(TimePoint Now) {
+    constexpr Milliseconds MaxBusyTime{500};
+    if (!detail::hasInput(Listener_->native_handle()))
+      return true;
+    if (!BusySince_)
+      BusySince_ = Now;
+    return Now - *BusySince_ > MaxBusyTime;
+  }
+
   std::unique_ptr<LoopHttpServer> makeServer(asio::io_context &Io,
                                              const ServerOptions &Options,
                                              Handler Handle) {
@@ -242,6 +254,8 @@
   asio::ip::tcp::acceptor *Listener_ = nullptr; ///< Part of Server_.
   std::unique_ptr<LoopHttpServer> Server_;
   bool Closed_ = false; ///< The listener was closed before the last drain().
+  /// When drain() first found connections to be accepted.
+  std::optional<TimePoint> BusySince_;
   std::uint64_t ClosedIdle_ = 0;
 };
 
