--- a/apps/pollenvale/fleet/graceful_stop.hpp
+++ b/apps/pollenvale/fleet/graceful_stop.hpp
@@ -30,8 +30,8 @@
   constexpr Milliseconds KillMargin{700};
   /// A late loop writes its answers in a few turns.
   constexpr Milliseconds AnswerTime{400};
-  /// Logs are written.
-  constexpr Milliseconds ExitTime{150};
+  /// A late loop notices the end, and logs are written.
+  constexpr Milliseconds ExitTime{350};
   auto Before = [Grace](Milliseconds Time) {
     return std::max(Milliseconds(0), Grace - Time);
   };
