Scheduler: ends of a worker's former incarnation are not acknowledged to the next

Cause: a renewal acknowledges ends by number, and a restarted worker numbers its ends anew. A start reached the new incarnation and ran to its end; the next renewal carried the former incarnation's number, so the worker forgot its end before any list had shown it. The owner then found the run absent and started the task again.

Change: a start counts as unconfirmed until its answer shows the clock of the known incarnation, or a list requested after it was settled has come. While one is unconfirmed, a renewal is unanswered or the registry names a later start, renewals acknowledge nothing.

--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -114,6 +114,14 @@
   TimePoint ClosedAt_{};
 };
 
+/// A start that may have been executed by a later incarnation of its worker
+/// than the owner knows.
+struct UnconfirmedStart {
+  TimePoint SentAt_{};
+  /// When it was answered, or given up; empty while it is in flight.
+  std::optional<TimePoint> SettledAt_ = {};
+};
+
 /// A worker of the slice as the owner sees it.
 struct Worker {
   WorkerInfo Info_;
@@ -144,8 +152,12 @@
   TimePoint AnsweredSentAt_{};
   /// When a lease was last sent by a start or by an unanswered renewal.
   TimePoint UnconfirmedLeaseSentAt_{};
+  /// By task and run; see recordStartSent().
+  std::map<std::pair<TaskId, std::uint32_t>, UnconfirmedStart>
+      UnconfirmedStarts_;
   std::uint64_t SeenEnd_ = 0;   ///< Highest number of an end processed.
   std::uint64_t StoredEnd_ = 0; ///< Ends up to this number are stored.
+  std::uint64_t SentAck_ = 0;   ///< Highest end number acknowledged so far.
   std::set<JobId> FailedJobs_;  ///< Jobs with failures there since a success.
   TimePoint AvoidUntil_{};      ///< No new tasks before this time.
   bool HasTailTarget_ = false;  ///< Lists a task with a target of its latency.
@@ -156,7 +168,6 @@
   Milliseconds LastMissTimeout_{0}; ///< Timeout of the last unanswered renewal.
   std::size_t AbandonedRunCount_ = 0; ///< Abandoned since last logged.
   TimePoint LastAbandonedAt_{};
-  std::uint64_t SentAck_ = 0; ///< Highest end number acknowledged by a renewal.
 };
 
 /// Values that stay constant while the owner holds the slice.
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -9,6 +9,8 @@
 /// Each owner numbers the runs of inherited tasks from this multiple of the
 /// number of earlier owners, so that no number is used twice.
 inline constexpr std::uint32_t RunsPerOwner = 1'000;
+/// Relative error by which a worker's clock may be slow.
+inline constexpr double ClockDrift = 0.02;
 
 // Each lookup returns null if it finds nothing. findStep() and findTask() see
 // open occurrences only. markReadySteps(), and with it detachRun() and
@@ -81,6 +83,22 @@
 /// Whether the incarnation that answered last is the newest one known, so that
 /// its clock can be used for deadlines.
 bool isClockCurrent(const Worker &W);
+/// Records that a start is sent. Until it is confirmed that the known
+/// incarnation has executed it, a later one may have run the task to its end.
+void recordStartSent(Worker &W, const StartCall &Call, TimePoint Now);
+/// Records the answer to a start, which is confirmed if the clock in the answer
+/// is that of the known incarnation.
+void recordStartAnswer(Worker &W, const StartCall &Call,
+                       const OrderReply &Reply, TimePoint Now);
+/// Whether ends of the known incarnation may be acknowledged. The worker takes
+/// an acknowledgement for one of its present incarnation, which would forget
+/// ends that it has not listed.
+bool mayAcknowledge(const Worker &W);
+/// Processes that the incarnation in \p Reply has answered \p Call, which was
+/// sent at \p SentAt: resets what belongs to a former one.
+void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
+                       const RenewReply &Reply, TimePoint SentAt,
+                       TimePoint Now);
 /// Resources available to new tasks.
 Resources freeResources(const Worker &W);
 /// Whether new tasks may start on the worker.
--- a/packages/scheduler/detail/trace.hpp
+++ b/packages/scheduler/detail/trace.hpp
@@ -27,7 +27,8 @@
 /// first consecutive miss of a worker with tasks.
 void traceMiss(State &State, Worker &W, const RenewCall &Call, TimePoint SentAt,
                TimePoint Now, Outbox &Out);
-/// Call before a renewal acknowledges \p W.StoredEnd_.
-void traceAck(Worker &W, TimePoint Now, Outbox &Out);
+/// Call before a renewal acknowledges the ends up to \p Acked for the first
+/// time.
+void traceAck(Worker &W, std::uint64_t Acked, TimePoint Now, Outbox &Out);
 
 } // namespace pollenvale::scheduler::detail
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -113,6 +113,9 @@
 
 void onStartReply(State &State, const StartCall &Call, const OrderReply &Reply,
                   TimePoint Now, Outbox &Out) {
+  auto Answering = State.Workers_.find(Call.Target_.Worker_);
+  if (Answering != State.Workers_.end())
+    detail::recordStartAnswer(Answering->second, Call, Reply, Now);
   Run *R = recordAnswer(State, Call, Reply);
   if (!R)
     return;
@@ -207,7 +210,7 @@
   R.InFlight_ = true;
   R.SettledAt_.reset();
   extendLease(State, W, State.Options_.StartDeadline_, Now);
-  W.UnconfirmedLeaseSentAt_ = Now;
+  recordStartSent(W, Call, Now);
   return Call;
 }
 
--- a/packages/scheduler/src/renewals.cpp
+++ b/packages/scheduler/src/renewals.cpp
@@ -46,7 +46,10 @@
 }
 
 RenewCall makeRenewal(State &State, Worker &W, TimePoint Now) {
-  RenewCall Call{makeTarget(State, W), W.StoredEnd_};
+  RenewCall Call{makeTarget(State, W)};
+  bool MayAcknowledge = mayAcknowledge(W);
+  if (MayAcknowledge)
+    Call.AckedEnd_ = W.StoredEnd_;
   // A worker that does not answer may be gone. Its tasks start elsewhere once
   // its leases have expired, so no further lease is granted. Nor is one if it
   // has restarted: its new clock is not known yet.
@@ -55,7 +58,9 @@
                                                  : State.Options_.Lease_;
     Call.LeaseUntil_ = workerClock(W, Now) + Lease;
     extendLease(State, W, Lease, Now);
-    if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_)
+    // Otherwise an acknowledgement follows, which the reply may allow.
+    if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_ &&
+        (MayAcknowledge || W.SentAck_ == W.StoredEnd_))
       Call.Wait_ = renewWait(State, W, Now);
   } else if (W.Misses_ > 0) {
     Call.Target_.Timeout_ = retryTimeout(State, W, Now);
@@ -77,6 +82,17 @@
   State.RenewalQueue_.insert(std::move(Node));
 }
 
+namespace {
+
+void recordAck(Worker &W, std::uint64_t Acked, TimePoint Now, Outbox &Out) {
+  if (Acked <= W.SentAck_)
+    return;
+  traceAck(W, Acked, Now, Out);
+  W.SentAck_ = Acked;
+}
+
+} // namespace
+
 void planRenewals(State &State, TimePoint Now, Outbox &Out) {
   auto &Queue = State.RenewalQueue_;
   while (!Queue.empty() && Queue.begin()->first <= Now) {
@@ -90,7 +106,7 @@
     if (W.RenewInFlight_ || !(W.Rostered_ || W.Released_))
       continue;
     Out.Renewals_.push_back(makeRenewal(State, W, Now));
-    traceAck(W, Now, Out);
+    recordAck(W, Out.Renewals_.back().AckedEnd_, Now, Out);
     W.RenewInFlight_ = true;
   }
 }
@@ -223,36 +239,12 @@
   scheduleRenewal(State, W, Now + RenewRetryInterval);
 }
 
-/// Accounts for leases that were computed from the clock of the former
-/// incarnation and may have reached the present one. As its clock is lower, it
-/// shortened them only to the longest lease that it grants.
-void extendMisreadLease(State &State, Worker &W, const RenewCall &Call,
-                        TimePoint Now) {
-  if (!Call.LeaseUntil_ && W.UnconfirmedLeaseSentAt_ < W.AnsweredSentAt_)
-    return;
-  count(State.Counters_, "lease-misread");
-  extendLease(State, W, State.Options_.MaxLease_, Now);
-}
-
-/// Resets what belongs to the former incarnation if the worker has restarted.
-void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
-                       const RenewReply &Reply, TimePoint Now) {
-  if (W.RunsKnown_ && W.Incarnation_ == Reply.StartedUnixMs_)
-    return;
-  if (W.RunsKnown_) {
-    count(State.Counters_, "worker-restarted");
-    extendMisreadLease(State, W, Call, Now);
-    forgetAdvice(State, W.Info_.Id_);
-  }
-  W.Incarnation_ = Reply.StartedUnixMs_;
-  W.SeenEnd_ = W.StoredEnd_ = 0;
-  W.FailedJobs_.clear();
-}
-
 /// Time from the reply to a renewal to the next renewal.
 Milliseconds renewalPause(const Worker &W) {
   if (W.SeenEnd_ > W.StoredEnd_)
     return AckWait;
+  if (W.SentAck_ < W.StoredEnd_)
+    return RenewSpacing;
   return W.Tasks_.empty() ? IdleRenewInterval : RenewSpacing;
 }
 
@@ -292,7 +284,7 @@
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
   bool First = !W.RunsKnown_;
-  detail::updateIncarnation(State, W, Call, Reply, Now);
+  detail::updateIncarnation(State, W, Call, Reply, SentAt, Now);
   W.RunsKnown_ = true;
   W.AnsweredSentAt_ = SentAt;
   for (const EndedTask &End : Reply.Ended_) {
--- a/packages/scheduler/src/trace.cpp
+++ b/packages/scheduler/src/trace.cpp
@@ -133,14 +133,13 @@
            {"answered_ms", msSince(W.ClockAt_, Now)}});
 }
 
-void traceAck(Worker &W, TimePoint Now, Outbox &Out) {
-  std::uint64_t Before = std::exchange(W.SentAck_, W.StoredEnd_);
-  if (W.StoredEnd_ <= Before || W.AbandonedRunCount_ == 0)
+void traceAck(Worker &W, std::uint64_t Acked, TimePoint Now, Outbox &Out) {
+  if (W.AbandonedRunCount_ == 0)
     return;
   addNote(Out, "ends-acknowledged-after-give-up",
           {{"worker", W.Info_.Id_},
-           {"before", Before},
-           {"up_to", W.StoredEnd_},
+           {"before", W.SentAck_},
+           {"up_to", Acked},
            {"runs_given_up", W.AbandonedRunCount_},
            {"given_up_ms", msSince(W.LastAbandonedAt_, Now)}});
   W.AbandonedRunCount_ = 0;
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -14,8 +14,6 @@
 /// Timeout of calls while answers get lost. May be short, as every call can be
 /// repeated.
 constexpr Milliseconds LossyTimeout{130};
-/// Relative error by which a worker's clock may be slow, which prolongs leases.
-constexpr double ClockDrift = 0.02;
 /// Added to the duration of each lease.
 constexpr Milliseconds LeaseMargin{250};
 constexpr unsigned MissesBeforeAvoiding = 2;
@@ -26,10 +24,6 @@
   return W.Clock_ + elapsed(W.ClockAt_, Now);
 }
 
-bool isClockCurrent(const Worker &W) {
-  return W.Info_.StartedUnixMs_ <= W.Incarnation_;
-}
-
 Target makeTarget(const State &State, const Worker &W) {
   Target To{W.Info_.Id_, W.Info_.Address_, State.Options_.Token_};
   if (State.LastTick_ < State.LossyUntil_)
--- a/packages/scheduler/tests/unit-restarts.cpp
+++ b/packages/scheduler/tests/unit-restarts.cpp
@@ -181,3 +181,56 @@
   C.run(Milliseconds(5'000));
   C.assertRulesKept();
 }
+
+namespace {
+
+/// A cell whose worker "a" has reported ends that are stored and acknowledged.
+/// It restarts, which its owner has not noticed when "j2" is submitted.
+struct AcknowledgedCell : IdleCell {
+  explicit AcknowledgedCell(Milliseconds RunTime) {
+    submit("j1", plainJob({plainStep(8)}));
+    cr_assert(runUntil([&] { return state("j1") == JobState::Completed; }));
+    run(Milliseconds(3'000));
+    cr_assert(worker("a").Ends_.empty(), "all ends are acknowledged");
+    Starts_.clear();
+    setRunTime(RunTime);
+    restartWorker("a", Milliseconds(5'000));
+  }
+};
+
+} // namespace
+
+// Guards against TWICE: the owner acknowledged the ends of the former
+// incarnation to the next one, which dropped its own ends by it before it had
+// listed them. Their tasks started again.
+Test(restarts,
+     ends_of_the_former_incarnation_are_not_acknowledged_to_the_next) {
+  AcknowledgedCell C(Milliseconds(1));
+  C.submit("j2", plainJob({plainStep(2)}));
+  cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), 2u);
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+}
+
+// The same if the start gets no answer at first, as the worker is down.
+Test(restarts, a_repeated_start_is_followed_by_no_former_acknowledgement) {
+  AcknowledgedCell C(Milliseconds(1));
+  C.worker("a").Cut_ = true;
+  C.submit("j2", plainJob({plainStep(2)}));
+  C.run(Milliseconds(300));
+  C.worker("a").Cut_ = false;
+  cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
+  cr_assert_eq(C.Starts_.size(), 2u);
+  cr_assert(C.Broken_.empty(), "%s", C.Broken_.front().c_str());
+}
+
+// Acknowledgements wait for a list only where an incarnation is in doubt.
+Test(restarts, a_start_that_the_clock_confirms_delays_no_acknowledgement) {
+  IdleCell C;
+  C.setRunTime(Milliseconds(60'000));
+  C.submit("j1", plainJob({plainStep(2)}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 2; }));
+  C.run(Milliseconds(60));
+  const scheduler::Worker &W = C.owner().State_.Workers_.at("a");
+  cr_assert(scheduler::detail::mayAcknowledge(W));
+}
--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -70,7 +70,7 @@
   W.HighestPastRuns_.clear();
   W.Ends_.clear();
   W.EndedAt_.clear();
-  W.LastEnd_ = 0;
+  W.LastEnd_ = W.ListedEnd_ = 0;
   W.Token_ = 0;
   W.LeaseEndsAt_ = {};
   W.Info_.StartedUnixMs_ = StartedUnixMs;
@@ -141,9 +141,14 @@
     return Out;
   if (C.LeaseUntil_)
     extend(W, *C.LeaseUntil_, Now);
+  for (const EndedTask &E : W.Ends_)
+    if (E.Number_ <= C.AckedEnd_ && E.Number_ > W.ListedEnd_)
+      W.LostEnds_.push_back(E);
   std::erase_if(W.Ends_,
                 [&](const EndedTask &E) { return E.Number_ <= C.AckedEnd_; });
   auto Listed = std::min(W.Ends_.size(), MaxEndsListed);
+  if (Listed > 0)
+    W.ListedEnd_ = std::max(W.ListedEnd_, W.Ends_[Listed - 1].Number_);
   Out.Ended_.assign(W.Ends_.begin(), W.Ends_.begin() + std::ptrdiff_t(Listed));
   if (W.HidesRuns_) {
     Out.UnreadableRuns_ = W.Runs_.size();
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -46,6 +46,9 @@
       HighestPastRuns_; ///< Highest run ended or stopped.
   std::vector<EndedTask> Ends_;
   std::uint64_t LastEnd_ = 0;
+  std::uint64_t ListedEnd_ = 0; ///< Highest end that a list has contained.
+  /// Ends that were acknowledged before any list contained them.
+  std::vector<EndedTask> LostEnds_;
   std::map<std::uint64_t, TimePoint>
       EndedAt_;               ///< Time of each end, by its number.
   TimePoint LeaseLapsedAt_{}; ///< When its leases last expired.
--- a/tests/fleet/fleet_checks.cpp
+++ b/tests/fleet/fleet_checks.cpp
@@ -148,6 +148,9 @@
       Used += R.Size_;
     if (!fits(Used, W.Info_.Capacity_))
       broken("over capacity " + Id);
+    for (const EndedTask &End : std::exchange(W.LostEnds_, {}))
+      broken("acknowledged before it was listed " +
+             workflow::toString(End.Task_) + " at " + Id);
   }
 }
 
