Scheduler: an owner opens due occurrences as far as it can hold their tasks

Cause: openDueOccurrences() opened all due occurrences at once with all their tasks, 691,200 here of about 1 KB each.

Closed jobs drop their tasks once nothing of them runs. Occurrences stand in a file of their own.

--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -104,8 +104,9 @@
   workflow::Queue Queue_;
   workflow::WorkflowSpec Spec_;
   workflow::JobState State_ = workflow::JobState::Queued;
-  std::map<std::uint32_t, Occurrence> Open_; ///< Due and unfinished.
-  std::uint32_t NextOccurrence_ = 0; ///< Number of the next one to come due.
+  /// Due and unfinished. Changed by openOccurrence() and dropOccurrence() only.
+  std::map<std::uint32_t, Occurrence> Open_;
+  std::uint32_t NextOccurrence_ = 0; ///< Number of the next one to be opened.
   bool Inherited_ = false; ///< Accepted before this owner claimed the slice.
   /// Occurrences that have, or may have, a record of their own in the store.
   std::set<std::uint32_t> StoredOccurrences_;
@@ -254,7 +255,9 @@
   std::vector<JobId> NewlyClosedJobs_; ///< Closed since the last tick.
   std::set<JobId> ExpiredJobs_; ///< Closed jobs to remove from the store.
   TimePoint NextExpiryCheckAt_{};
-  std::set<JobId> ScheduledJobs_; ///< Jobs with occurrences not yet due.
+  std::set<JobId> ScheduledJobs_; ///< Jobs with occurrences not yet open.
+  std::size_t OpenTasks_ = 0;    ///< Tasks of the open occurrences of all jobs.
+  std::set<JobId> StoppingJobs_; ///< Closed jobs that may still have runs.
   std::optional<PendingWrite> PendingWrite_; ///< At most one at a time.
   TimePoint NextWriteAt_{};
   std::uint64_t NextWriteId_ = 1;
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -34,13 +34,27 @@
 /// job, when all steps are done.
 void markReadySteps(State &State, Job &J, std::uint32_t Occurrence,
                     TimePoint Now);
+/// Time since \p SinceUnixMs, limited to a plausible range, as wall clocks of
+/// two VMs may differ.
+Milliseconds ageOf(std::int64_t SinceUnixMs, std::int64_t NowUnixMs);
 /// An occurrence of the job of which nothing is done.
 Occurrence beginOccurrence(const State &State, const Job &J,
                            std::uint32_t Number, TimePoint Now,
                            std::int64_t NowUnixMs);
-/// Opens the occurrences that are due.
+/// Opens the occurrences that are due, as many as the owner can hold: the
+/// others are opened when earlier ones are done.
 void openDueOccurrences(State &State, Job &J, TimePoint Now,
                         std::int64_t NowUnixMs);
+/// Adds an open occurrence to the job.
+void openOccurrence(State &State, Job &J, std::uint32_t Number, Occurrence O);
+/// Removes an open occurrence, if there is one of this number.
+void dropOccurrence(State &State, Job &J, std::uint32_t Number);
+/// Drops the occurrences of closed jobs whose runs have all ended.
+void dropStoppedOccurrences(State &State);
+/// Forgets the job.
+void eraseJob(State &State, const JobId &Id);
+/// Whether any task of the job has a run.
+bool hasRuns(const Job &J);
 /// Applies the catalog's present settings of the job's queue, but for its
 /// service.
 void updateQueue(const workflow::Catalog &C, Job &J);
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -9,58 +9,6 @@
 
 namespace detail {
 
-namespace {
-
-/// Time since \p SinceUnixMs, limited to a plausible range, as wall clocks of
-/// two VMs may differ.
-Milliseconds ageOf(std::int64_t SinceUnixMs, std::int64_t NowUnixMs) {
-  constexpr std::int64_t MaxAgeMs = 120'000;
-  return Milliseconds(
-      std::clamp<std::int64_t>(NowUnixMs - SinceUnixMs, 0, MaxAgeMs));
-}
-
-/// When a scheduled occurrence is due.
-std::int64_t dueUnixMs(const workflow::WorkflowSpec &Spec,
-                       std::uint32_t Number) {
-  return Spec.FirstDueUnixMs_ + std::int64_t(Number) * Spec.IntervalMs_;
-}
-
-/// When an occurrence came due; at the earliest when the job was accepted.
-TimePoint cameDueAt(const Job &J, std::uint32_t Number, TimePoint Now,
-                    std::int64_t NowUnixMs) {
-  if (J.Spec_.Repeats_ == 0)
-    return J.AcceptedAt_;
-  Milliseconds Age = ageOf(dueUnixMs(J.Spec_, Number), NowUnixMs);
-  return std::max(J.AcceptedAt_, Now - Age);
-}
-
-Occurrence makeOccurrence(const workflow::WorkflowSpec &Spec,
-                          std::uint32_t FirstRunNumber) {
-  Occurrence O;
-  for (const workflow::StepSpec &StepSpec : Spec.Steps_) {
-    Step Step;
-    Step.Tasks_.resize(StepSpec.Count_);
-    for (Task &T : Step.Tasks_)
-      T.LastRun_ = FirstRunNumber;
-    O.Steps_.push_back(std::move(Step));
-  }
-  return O;
-}
-
-std::uint32_t firstRunNumber(const State &State, const Job &J) {
-  return J.Inherited_ ? (State.Options_.Generation_ - 1) * RunsPerOwner : 0;
-}
-
-} // namespace
-
-Occurrence beginOccurrence(const State &State, const Job &J,
-                           std::uint32_t Number, TimePoint Now,
-                           std::int64_t NowUnixMs) {
-  Occurrence O = makeOccurrence(J.Spec_, firstRunNumber(State, J));
-  O.CameDueAt_ = cameDueAt(J, Number, Now, NowUnixMs);
-  return O;
-}
-
 void updateQueue(const workflow::Catalog &C, Job &J) {
   const workflow::Queue *Q = workflow::findQueue(C, J.Queue_.Name_);
   if (!Q)
@@ -78,6 +26,7 @@
   J.ClosedAt_ = Now;
   State.NewlyClosedJobs_.push_back(J.Id_);
   State.ScheduledJobs_.erase(J.Id_);
+  State.StoppingJobs_.insert(J.Id_);
   count(State.Counters_, "job-" + std::string(workflow::toString(NewState)));
   markDirty(State, J);
   for (std::uint32_t Number : J.StoredOccurrences_)
@@ -104,7 +53,7 @@
           J.NextOccurrence_ >= workflow::occurrenceCount(J.Spec_))
         closeJob(State, J, JobState::Completed, Now);
       else if (Idle) {
-        J.Open_.erase(Number);
+        dropOccurrence(State, J, Number);
         markDirty(State, J);
         markDirty(State, J, Number);
       }
@@ -128,22 +77,6 @@
   }
 }
 
-void openDueOccurrences(State &State, Job &J, TimePoint Now,
-                        std::int64_t NowUnixMs) {
-  const workflow::WorkflowSpec &Spec = J.Spec_;
-  while (J.NextOccurrence_ < workflow::occurrenceCount(Spec)) {
-    if (Spec.Repeats_ > 0 && dueUnixMs(Spec, J.NextOccurrence_) > NowUnixMs)
-      break;
-    std::uint32_t Number = J.NextOccurrence_++;
-    J.Open_[Number] = beginOccurrence(State, J, Number, Now, NowUnixMs);
-    markReadySteps(State, J, Number, Now);
-  }
-  if (J.NextOccurrence_ < workflow::occurrenceCount(Spec))
-    State.ScheduledJobs_.insert(J.Id_);
-  else
-    State.ScheduledJobs_.erase(J.Id_);
-}
-
 } // namespace detail
 
 void onJob(State &State, const JobId &Id, const ledger::ReplicatedJob &Row,
--- a/packages/scheduler/src/progress.cpp
+++ b/packages/scheduler/src/progress.cpp
@@ -137,7 +137,7 @@
       loadStepProgress(O.Steps_[I], Steps[I]);
       O.StepsDone_ += O.Steps_[I].DoneCount_ == O.Steps_[I].Tasks_.size();
     }
-    J.Open_[Stored.Number_] = std::move(O);
+    openOccurrence(State, J, Stored.Number_, std::move(O));
   }
   moveInlineProgress(State, J, Progress);
   markFinishedOccurrences(State, J);
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -83,6 +83,7 @@
   detail::planWrites(State, Now, Out);
   detail::reportLongWaits(State, Now, Out);
   reportClosedJobs(State, Out);
+  detail::dropStoppedOccurrences(State);
 }
 
 bool hasOpenJobs(const State &State) {
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -49,14 +49,6 @@
   return Out;
 }
 
-bool hasRuns(const Job &J) {
-  for (const auto &[Number, O] : J.Open_)
-    for (const Step &Step : O.Steps_)
-      if (Step.RunCount_ > 0)
-        return true;
-  return false;
-}
-
 /// Begins a round with all changes since the last one, so that a job which
 /// changes all the time delays no acknowledgement.
 void beginRound(State &State) {
@@ -248,7 +240,7 @@
 /// Forgets the records that a write has removed.
 void forgetRemoved(State &State, const PendingWrite &Stored) {
   for (const JobId &Job : Stored.Removed_)
-    State.Jobs_.erase(Job);
+    eraseJob(State, Job);
   for (const ProgressId &Id : Stored.RemovedOccurrences_)
     if (Job *J = findJob(State, Id.Job_))
       J->StoredOccurrences_.erase(*Id.Occurrence_);
