Intake: a job is accepted for one service, also while its queue moves

Cause: a job is unique within the partition of its queue's service only. Two entries with two configurations append to two partitions, and nothing puts the two records in an order; the look into other copies sees what was read so far.

Change: before an entry stores jobs of a queue for its present service, it closes the queue where it was before, by a record, and waits until its copy contains that record. A job stored behind it by an earlier configuration is void for everybody; an entry answers 200 only once its own copy shows the job as accepted. Owners remove void records, or store progress if an earlier record of the job stands. Submitting stands in a file of its own. A job's record has one field more, the version of the configuration.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -137,8 +137,10 @@
   }
 
   void onConfig(const ledger::KeyedRecord &R) {
+    workflow::Catalog Before = Config_.Catalog_;
     if (!applyRecord(Config_, R, Counters_))
       return;
+    intake::onCatalog(Intake_, Before, Config_.Catalog_);
     followJobs();
     Slices_.onCatalog();
     postDueWork();
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -75,6 +75,13 @@
   return It != Jobs.end() && It->second.Accepted_.Queue_.Service_ == Slice_;
 }
 
+bool SliceOwner::isOwnVoidJob(const JobId &Job) const {
+  const auto &Void = Context_.Partition_->Replica_.VoidJobs_;
+  auto It = Void.find(Job);
+  return ownsJob(Job) ||
+         (It != Void.end() && It->second.Queue_.Service_ == Slice_);
+}
+
 void SliceOwner::startScheduling() {
   const ledger::Replica &Copy = Context_.Partition_->Replica_;
   scheduler::Options Options;
@@ -206,6 +213,8 @@
                   {"steps", Job.Accepted_.Spec_.Steps_.size()}});
   } else if (Change.Kind_ == Kind::Cancelled) {
     scheduler::onCancel(State_, Change.Job_, now());
+  } else if (Change.Kind_ == Kind::Void && isOwnVoidJob(Change.Job_)) {
+    scheduler::onVoidJob(State_, Change.Job_);
   }
   Context_.PostDueWork_();
 }
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -105,6 +105,8 @@
   /// Ends this owner because its claim is lost, and logs \p Reason.
   void loseSlice(const char *Reason);
   bool ownsJob(const JobId &Job) const;
+  /// Whether a void record of the job is for this slice.
+  bool isOwnVoidJob(const JobId &Job) const;
   /// Whether cancellations or drains may have been missed for too long.
   bool isBehind() const;
 
--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -52,13 +52,28 @@
   bool Cancel_ = false; ///< Cancellation; otherwise a job.
   ledger::KeyedRecord Record_;
   TimePoint ExpiresAt_{}; ///< Abandoned if not stored at this time.
-  /// The outcome of an earlier append is unknown.
+  /// An earlier append is stored, or its outcome is unknown.
   bool MayBeStored_ = false;
+  bool Stored_ = false;   ///< Waits for the copy to contain it.
   bool InFlight_ = false; ///< Queued or part of an append in flight.
   bool Answered_ = false;
   Reply Reply_;
 };
 
+/// A submitted job that waits until its queue is closed where it was before.
+/// Nothing of it has been sent to the store.
+struct PendingSubmit {
+  workflow::Queue Queue_;
+  JobId Job_;
+  workflow::WorkflowSpec Spec_;
+  std::int64_t ReceivedUnixMs_ = 0;
+  TimePoint ExpiresAt_{}; ///< Rejected if it still waits at this time.
+  Reply Reply_;
+};
+
+/// A queue and a partition of the job topic.
+using QueuePlace = std::pair<std::string, std::uint32_t>;
+
 /// Writes to one partition, one append at a time. A slow store executes the
 /// appends to a partition one after another, so writes that arrive during an
 /// append are batched into the next one.
@@ -76,6 +91,13 @@
                                      ///< of the store.
   std::map<std::uint32_t, PartitionCopy> Partitions_; ///< By partition.
   std::list<PendingCall> PendingCalls_;
+  std::list<PendingSubmit> PendingSubmits_;
+  std::uint64_t ConfigVersion_ = 0; ///< Of the configuration in force.
+  /// Partitions that a queue has left while this process ran, and the version
+  /// of the configuration by which it did.
+  std::map<QueuePlace, std::uint64_t> LeftPartitions_;
+  /// When a queue that was being closed in a partition is closed again.
+  std::map<QueuePlace, TimePoint> ClosingRetryAt_;
   std::list<std::shared_ptr<PendingWrite>> Writes_; ///< Unanswered writes.
   std::map<std::uint32_t, PartitionQueue> PartitionQueues_; ///< By partition.
   std::optional<TimePoint> OutageSince_; ///< Begin of the store outage; empty
@@ -93,9 +115,13 @@
   Milliseconds Deadline_{3'000}; ///< How long the caller waits, from Now_.
 };
 
-/// Stores the job. Idempotent: repeated calls with one id create one job.
+/// Stores the job. Idempotent: repeated calls with one id create one job, also
+/// if its queue moves to another service between them.
 void submit(Intake &State, const workflow::Queue &Q, const JobId &Job,
             workflow::WorkflowSpec Spec, const CallTimes &T, Reply Done);
+/// The configuration \p New replaces \p Old, which is empty at first.
+void onCatalog(Intake &State, const workflow::Catalog &Old,
+               const workflow::Catalog &New);
 /// Answers with the state of the job, or Outcome::Unknown.
 void queryState(Intake &State, const workflow::Queue &Q, const JobId &Job,
                 const CallTimes &T, Reply Done);
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -1,4 +1,5 @@
 #include "intake/intake.hpp"
+#include "intake/detail/submits.hpp"
 
 #include <algorithm>
 
@@ -6,16 +7,9 @@
 
 using ledger::AppendReply;
 using ledger::StoreStatus;
+using namespace detail;
 
-namespace {
-
-/// Part of the caller's deadline that is reserved for delivering the answer.
-constexpr Milliseconds AnswerMargin{350};
-constexpr Milliseconds AppendTimeout{1'500};
-/// Larger appends delay those that other entries make to the partition.
-constexpr std::size_t MaxBatchBytes = 512 * 1'024;
-/// New jobs are rejected once the store has not answered for this long.
-constexpr Milliseconds MaxStoreSilence{2'600};
+namespace detail {
 
 Milliseconds answerTimeout(const CallTimes &T) {
   return std::max(Milliseconds(50), T.Deadline_ - AnswerMargin);
@@ -25,10 +19,6 @@
   return {Outcome::Rejected, {}, makeError(Kind, std::move(Message))};
 }
 
-/// Rejection whose retry delay grows with the length of the outage, because
-/// callers retry only a few times. Half of the jobs get one more second, which
-/// spreads the retries. \p ExpiresAt bounds the delay: a retry after the
-/// caller's deadline is useless.
 Answer rejectedByOutage(const Intake &State, const JobId &Job, TimePoint Now,
                         TimePoint ExpiresAt, std::string Message) {
   constexpr std::chrono::seconds MaxDelay{3};
@@ -57,14 +47,6 @@
   return Row == It->second.Replica_.Jobs_.end() ? nullptr : &Row->second;
 }
 
-/// A job and the partition that holds it.
-struct StoredJob {
-  std::uint32_t Partition_ = 0;
-  const ledger::ReplicatedJob *Row_ = nullptr; ///< Null if there is none.
-};
-
-/// The job in the partition of its queue's service, or else in that of the
-/// service to which the queue belonged when the job was accepted.
 StoredJob findJobOfQueue(const Intake &State, const workflow::Queue &Q,
                          const JobId &Job) {
   std::uint32_t Present = partitionOf(Q.Service_, State.TopicPartitions_);
@@ -78,6 +60,16 @@
   return {Present, nullptr};
 }
 
+} // namespace detail
+
+namespace {
+
+constexpr Milliseconds AppendTimeout{1'500};
+/// Larger appends delay those that other entries make to the partition.
+constexpr std::size_t MaxBatchBytes = 512 * 1'024;
+/// New jobs are rejected once the store has not answered for this long.
+constexpr Milliseconds MaxStoreSilence{2'600};
+
 void answer(Intake &State, const std::shared_ptr<PendingWrite> &Write,
             Answer A) {
   if (Write->Answered_)
@@ -91,11 +83,28 @@
 
 void sendNextBatch(Intake &State, std::uint32_t Partition);
 
+bool isInCopy(const Intake &State, const PendingWrite &Write) {
+  const ledger::ReplicatedJob *Row =
+      findJob(State, Write.Partition_, Write.Job_);
+  return Row && (!Write.Cancel_ || Row->Cancelled_);
+}
+
+/// Confirms a stored record. A job counts as accepted once the copy contains
+/// it: its queue may have been closed in the partition before.
+void onStored(Intake &State, const std::shared_ptr<PendingWrite> &Write) {
+  if (Write->Cancel_ || isInCopy(State, *Write))
+    return answer(State, Write, {Outcome::Stored});
+  Write->Stored_ = Write->MayBeStored_ = true;
+  auto Copy = State.Partitions_.find(Write->Partition_);
+  if (Copy != State.Partitions_.end())
+    ledger::scheduleReadBy(Copy->second.Tail_, State.Clock_());
+}
+
 void onAppended(Intake &State, const std::shared_ptr<PendingWrite> &Write,
                 StoreStatus Status) {
   Write->InFlight_ = false;
   if (Status == StoreStatus::Done)
-    return answer(State, Write, {Outcome::Stored});
+    return onStored(State, Write);
   if (Status != StoreStatus::NotDone)
     Write->MayBeStored_ = true;
   // No append of this record can have been stored, so the caller may safely
@@ -165,41 +174,33 @@
   sendNextBatch(State, Write->Partition_);
 }
 
-void addWrite(Intake &State, std::uint32_t Partition, const JobId &Job,
-              bool Cancel, ledger::KeyedRecord Record, const CallTimes &T,
-              Reply Done) {
-  if (State.Stopped_)
-    return Done(rejectedByStop());
-  auto Write = std::make_shared<PendingWrite>();
-  Write->Partition_ = Partition;
-  Write->Job_ = Job;
-  Write->Cancel_ = Cancel;
-  Write->Record_ = std::move(Record);
-  Write->ExpiresAt_ = T.Now_ + answerTimeout(T);
-  Write->Reply_ = std::move(Done);
-  State.Writes_.push_back(Write);
-  enqueueWrite(State, Write);
-}
-
-bool isInCopy(const Intake &State, const PendingWrite &Write) {
-  const ledger::ReplicatedJob *Row =
-      findJob(State, Write.Partition_, Write.Job_);
-  return Row && (!Write.Cancel_ || Row->Cancelled_);
+/// Whether the copy shows that the job came too late for its queue.
+bool isVoid(const Intake &State, const PendingWrite &Write) {
+  auto Copy = State.Partitions_.find(Write.Partition_);
+  return !Write.Cancel_ && Copy != State.Partitions_.end() &&
+         Copy->second.Replica_.VoidJobs_.count(Write.Job_);
 }
 
-/// Confirms writes that the copy contains, abandons those that have expired,
-/// and sends the others again if no append of theirs is in flight.
+/// Confirms writes that the copy contains, abandons those that have expired or
+/// come too late, and sends the others again if none of theirs is in flight.
 void retryWrites(Intake &State, TimePoint Now) {
   auto Writes = State.Writes_;
   for (const std::shared_ptr<PendingWrite> &Write : Writes) {
     if (isInCopy(State, *Write)) {
       answer(State, Write, {Outcome::Stored});
+    } else if (isVoid(State, *Write)) {
+      // It may have been accepted at the other service meanwhile.
+      count(State.Counters_, "submit-void");
+      answer(State, Write,
+             rejected(ErrorKind::LogUnknown,
+                      "the queue has moved; another entry may have the job"));
     } else if (Now >= Write->ExpiresAt_) {
       count(State.Counters_, "write-unanswered");
       answer(State, Write,
              rejected(ErrorKind::LogUnknown,
                       "no answer from the store; the record may be stored"));
-    } else if (!Write->InFlight_ && isStoreReachable(State, Now)) {
+    } else if (!Write->InFlight_ && !Write->Stored_ &&
+               isStoreReachable(State, Now)) {
       count(State.Counters_, "write-resent");
       enqueueWrite(State, Write);
     }
@@ -255,33 +256,27 @@
     ledger::scheduleReadBy(Copy->second.Tail_, T.Now_);
 }
 
-/// True, or BadSpec if the store would refuse the record of the job, that of an
-/// occurrence when all its tasks have failed several times, or that of the
-/// progress when all occurrences are open.
-Result<bool> checkSize(const ledger::KeyedRecord &Record,
-                       const workflow::WorkflowSpec &Spec,
-                       const ledger::StoreLimits &Limits) {
-  if (ledger::recordBytes(Record) > Limits.RecordBytes_)
-    return makeError(ErrorKind::BadSpec,
-                     "job: " + std::to_string(ledger::recordBytes(Record)) +
-                         " bytes as stored, at most " +
-                         std::to_string(Limits.RecordBytes_));
-  std::size_t MaxTasks =
-      Limits.RecordBytes_ / workflow::MaxProgressBytesPerTask;
-  if (workflow::taskCount(Spec) > MaxTasks)
-    return makeError(ErrorKind::BadSpec,
-                     "steps: " + std::to_string(workflow::taskCount(Spec)) +
-                         " tasks, at most " + std::to_string(MaxTasks));
-  std::size_t MaxRepeats =
-      Limits.RecordBytes_ / workflow::MaxBytesPerOpenOccurrence;
-  if (Spec.Repeats_ > MaxRepeats)
-    return makeError(ErrorKind::BadSpec,
-                     "repeats: " + std::to_string(Spec.Repeats_) +
-                         ", at most " + std::to_string(MaxRepeats));
-  return true;
+} // namespace
+
+namespace detail {
+
+void addWrite(Intake &State, std::uint32_t Partition, const JobId &Job,
+              bool Cancel, ledger::KeyedRecord Record, const CallTimes &T,
+              Reply Done) {
+  if (State.Stopped_)
+    return Done(rejectedByStop());
+  auto Write = std::make_shared<PendingWrite>();
+  Write->Partition_ = Partition;
+  Write->Job_ = Job;
+  Write->Cancel_ = Cancel;
+  Write->Record_ = std::move(Record);
+  Write->ExpiresAt_ = T.Now_ + answerTimeout(T);
+  Write->Reply_ = std::move(Done);
+  State.Writes_.push_back(Write);
+  enqueueWrite(State, Write);
 }
 
-} // namespace
+} // namespace detail
 
 std::uint32_t partitionOf(const ServiceName &Service,
                           std::uint32_t TopicPartitions) {
@@ -298,34 +293,6 @@
       });
 }
 
-void submit(Intake &State, const workflow::Queue &Q, const JobId &Job,
-            workflow::WorkflowSpec Spec, const CallTimes &T, Reply Done) {
-  StoredJob Known = findJobOfQueue(State, Q, Job);
-  if (Known.Row_) {
-    count(State.Counters_, "submit-known");
-    Done({Outcome::Stored});
-    return;
-  }
-  if (!isStoreReachable(State, T.Now_)) {
-    count(State.Counters_, "submit-rejected-store");
-    if (!State.OutageSince_)
-      State.OutageSince_ = T.Now_;
-    Done(rejectedByOutage(State, Job, T.Now_, T.Now_ + answerTimeout(T),
-                          "the store does not answer"));
-    return;
-  }
-  ledger::AcceptedJob Accepted{Q, T.NowUnixMs_, std::move(Spec)};
-  ledger::KeyedRecord Record = ledger::makeJob(Job, Accepted);
-  if (auto Ok = checkSize(Record, Accepted.Spec_, State.StoreLimits_); !Ok) {
-    count(State.Counters_, "submit-rejected-size");
-    Done({Outcome::Rejected, {}, Ok.error()});
-    return;
-  }
-  count(State.Counters_, "submit");
-  addWrite(State, Known.Partition_, Job, false, std::move(Record), T,
-           std::move(Done));
-}
-
 void queryState(Intake &State, const workflow::Queue &Q, const JobId &Job,
                 const CallTimes &T, Reply Done) {
   StoredJob Known = findJobOfQueue(State, Q, Job);
@@ -360,6 +327,7 @@
   if (isStoreReachable(State, Now))
     State.OutageSince_.reset();
   retryWrites(State, Now);
+  retrySubmits(State, Now);
   const PartitionCopy &Copy = State.Partitions_.at(Partition);
   for (auto It = State.PendingCalls_.begin();
        It != State.PendingCalls_.end();) {
@@ -383,6 +351,7 @@
 
 void tick(Intake &State, TimePoint Now) {
   retryWrites(State, Now);
+  retrySubmits(State, Now);
   for (auto It = State.PendingCalls_.begin();
        It != State.PendingCalls_.end();) {
     if (Now < It->ExpiresAt_) {
@@ -400,6 +369,10 @@
 void stop(Intake &State) {
   if (std::exchange(State.Stopped_, true))
     return;
+  for (const PendingSubmit &Submit : std::exchange(State.PendingSubmits_, {})) {
+    count(State.Counters_, "submit-stopped");
+    Submit.Reply_(rejectedByStop());
+  }
   auto Writes = State.Writes_;
   for (const std::shared_ptr<PendingWrite> &Write : Writes) {
     count(State.Counters_, "write-stopped");
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -26,11 +26,17 @@
   void answer(StoreStatus Status) {
     auto Done = std::move(Open_.front());
     Open_.erase(Open_.begin());
+    const ledger::AppendCall &Call = Appends_[Answered_++];
+    if (Status == StoreStatus::Done && Delivers_)
+      Delivers_(Call);
     Done({Status});
   }
 
   std::vector<ledger::AppendCall> Appends_;
   std::vector<ledger::ReplyHandler<AppendReply>> Open_;
+  std::size_t Answered_ = 0; ///< Appends answered so far.
+  /// Hands stored records to the copy before the answer, as the relay does.
+  std::function<void(const ledger::AppendCall &)> Delivers_;
 };
 
 struct Fixture {
@@ -47,6 +53,11 @@
     Partition_ = partitionOf("s", Intake_.TopicPartitions_);
     Intake_.Store_ = &Store_;
     Intake_.Clock_ = [this] { return Now_; };
+    Store_.Delivers_ = [this](const ledger::AppendCall &Call) {
+      auto &Copy = Intake_.Partitions_[Call.Partition_.Number_].Replica_;
+      for (const ledger::KeyedRecord &R : Call.Records_)
+        ledger::apply(Copy, R);
+    };
     read();
   }
 
@@ -90,6 +101,19 @@
   cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
 }
 
+// A queue that has moved may have been closed in the partition just before.
+Test(intake, a_stored_job_is_accepted_once_the_copy_contains_it) {
+  Fixture F;
+  F.Store_.Delivers_ = nullptr;
+  F.submit();
+  F.Store_.answer(StoreStatus::Done);
+  F.read();
+  cr_assert(F.Answers_.empty());
+  cr_assert_eq(F.Store_.Appends_.size(), 1u, "it is not sent again");
+  F.read({F.record()});
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
+}
+
 Test(intake, a_known_job_is_not_stored_again) {
   Fixture F;
   F.read({F.record()});
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -14,7 +14,10 @@
   workflow::Queue Queue_;
   std::int64_t AcceptedUnixMs_ = 0;
   workflow::WorkflowSpec Spec_;
-  MSGPACK_DEFINE(Queue_, AcceptedUnixMs_, Spec_)
+  /// Version of the configuration by which Queue_ belongs to its service; 0 if
+  /// unknown.
+  std::uint64_t Version_ = 0;
+  MSGPACK_DEFINE(Queue_, AcceptedUnixMs_, Spec_, Version_)
 };
 
 /// Workers that may hold leases of an owner of a slice.
@@ -33,15 +36,17 @@
   Occurrence,
   Roster,
   Fence,
+  ClosedQueue,
   Unknown
 };
 
-/// Kind of a record and the job or slice that it is about, as told by its key.
+/// Kind of a record and what it is about, as told by its key.
 struct RecordName {
   RecordKind Kind_ = RecordKind::Unknown;
   JobId Job_;                    ///< Empty for a Roster or Fence record.
   std::string Slice_;            ///< Of a Roster or Fence record; else empty.
   std::uint32_t Occurrence_ = 0; ///< Of an Occurrence record; else 0.
+  std::string Queue_;            ///< Of a ClosedQueue record; else empty.
 };
 /// Kind Unknown if \p Key has no name or no known prefix.
 RecordName nameOf(const std::string &Key);
@@ -58,6 +63,10 @@
 /// First record that a new owner of \p Slice writes. Records before it are from
 /// earlier owners.
 KeyedRecord makeFence(const std::string &Slice, std::uint64_t Claim);
+/// Closes the queue in this partition, as it has moved to another service: jobs
+/// that are stored after this record are void if they were accepted by a
+/// configuration before \p Version.
+KeyedRecord makeClosedQueue(const std::string &Queue, std::uint64_t Version);
 /// Records without a value, which remove every key of \p Job but those of its
 /// occurrences.
 std::vector<KeyedRecord> makeRemoval(const JobId &Job);
@@ -73,6 +82,8 @@
 parseOccurrence(const std::string &Value);
 /// Claim number of a fence; 0 if \p Value does not begin with a number.
 std::uint64_t parseFence(const std::string &Value);
+/// Version of a closed queue; 0 if \p Value does not begin with a number.
+std::uint64_t parseClosedQueue(const std::string &Value);
 /// Empty if \p Value can't be decoded.
 std::optional<Roster> parseRoster(const std::string &Value);
 
--- a/packages/ledger/detail/replica.hpp
+++ b/packages/ledger/detail/replica.hpp
@@ -29,9 +29,21 @@
   std::map<std::uint32_t, StoredOccurrence> Occurrences_;
 };
 
+/// The newest record that closes a queue in the partition.
+struct ClosedQueue {
+  std::uint64_t Version_ = 0;
+  Offset Offset_ = 0;
+};
+
 /// Jobs and rosters of one partition.
 struct Replica {
   std::map<JobId, ReplicatedJob> Jobs_;
+  /// Jobs that were stored after their queue had been closed, and have not been
+  /// removed from the store yet. They were never accepted.
+  std::map<JobId, AcceptedJob> VoidJobs_;
+  std::map<std::string, ClosedQueue> ClosedQueues_; ///< By queue.
+  /// Highest AcceptedJob::Version_ of the jobs read so far, by queue.
+  std::map<std::string, std::uint64_t> QueueVersions_;
   /// Jobs of which only a cancellation or progress has been read so far: a load
   /// reads records in the order of their keys.
   std::map<JobId, ReplicatedJob> EarlyJobs_;
@@ -41,7 +53,17 @@
 
 /// How one record changed the replica.
 struct Change {
-  enum class Kind { None, Accepted, Cancelled, Progress, Removed, Fenced };
+  enum class Kind {
+    None,
+    Accepted,
+    Cancelled,
+    Progress,
+    Removed,
+    Fenced,
+    /// A void record of the job was stored. The job itself may have been
+    /// accepted by an earlier one.
+    Void
+  };
   Kind Kind_ = Kind::None;
   JobId Job_; ///< Empty for None and Fenced.
   /// Set for Fenced: the slice that has a new owner, and the owner's claim
--- a/packages/ledger/src/record.cpp
+++ b/packages/ledger/src/record.cpp
@@ -12,6 +12,9 @@
 constexpr char OccurrencePrefix = 'o';
 constexpr char FencePrefix = 'f';
 constexpr char RosterPrefix = 'r';
+/// Sorts before JobPrefix: a load must read closed queues before the jobs.
+constexpr char ClosedQueuePrefix = 'Q';
+static_assert(ClosedQueuePrefix < JobPrefix);
 
 std::string keyOf(char Prefix, const JobId &Job) { return Prefix + Job; }
 
@@ -50,6 +53,8 @@
     return {RecordKind::Fence, {}, Key.substr(1)};
   case RosterPrefix:
     return {RecordKind::Roster, {}, Key.substr(1)};
+  case ClosedQueuePrefix:
+    return {RecordKind::ClosedQueue, {}, {}, 0, Key.substr(1)};
   default:
     return {};
   }
@@ -84,6 +89,10 @@
   return {FencePrefix + Slice, std::to_string(Claim)};
 }
 
+KeyedRecord makeClosedQueue(const std::string &Queue, std::uint64_t Version) {
+  return {ClosedQueuePrefix + Queue, std::to_string(Version)};
+}
+
 std::vector<KeyedRecord> makeRemoval(const JobId &Job) {
   return {{keyOf(JobPrefix, Job), ""},
           {keyOf(CancelPrefix, Job), ""},
@@ -114,6 +123,10 @@
   return std::strtoull(Value.c_str(), nullptr, 10);
 }
 
+std::uint64_t parseClosedQueue(const std::string &Value) {
+  return std::strtoull(Value.c_str(), nullptr, 10);
+}
+
 std::optional<Roster> parseRoster(const std::string &Value) {
   return unpack<Roster>(Value);
 }
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -6,21 +6,56 @@
 
 namespace {
 
+/// Whether a job that is stored at \p At comes too late for its queue.
+bool isVoid(const Replica &Copy, const AcceptedJob &Job, Offset At) {
+  auto Closed = Copy.ClosedQueues_.find(Job.Queue_.Name_);
+  return Closed != Copy.ClosedQueues_.end() && Closed->second.Offset_ < At &&
+         Closed->second.Version_ > Job.Version_;
+}
+
+/// Whether the job's owner has stored progress, so that it was accepted: its
+/// first record has been replaced by a later one.
+bool hasProgress(const Replica &Copy, const JobId &Id) {
+  auto Early = Copy.EarlyJobs_.find(Id);
+  return Early != Copy.EarlyJobs_.end() && Early->second.ProgressOffset_ > 0;
+}
+
+Change accept(Replica &Copy, const JobId &Id, AcceptedJob Accepted, Offset At) {
+  ReplicatedJob Job;
+  if (auto Early = Copy.EarlyJobs_.extract(Id))
+    Job = std::move(Early.mapped());
+  std::uint64_t &Version = Copy.QueueVersions_[Accepted.Queue_.Name_];
+  Version = std::max(Version, Accepted.Version_);
+  Job.Accepted_ = std::move(Accepted);
+  Job.AcceptedOffset_ = At;
+  Copy.Jobs_.emplace(Id, std::move(Job));
+  return {Change::Kind::Accepted, Id};
+}
+
 Change applyJob(Replica &Copy, const JobId &Id, const KeyedRecord &R) {
-  if (Copy.Jobs_.count(Id))
+  bool Known = Copy.Jobs_.count(Id) > 0;
+  if (Known && Copy.ClosedQueues_.empty())
     return {};
   auto Accepted = parseJob(R.Value_);
   if (!Accepted) {
-    ++Copy.UnreadableRecords_;
+    Copy.UnreadableRecords_ += !Known;
     return {};
   }
-  ReplicatedJob Job;
-  if (auto Early = Copy.EarlyJobs_.extract(Id))
-    Job = std::move(Early.mapped());
-  Job.Accepted_ = std::move(*Accepted);
-  Job.AcceptedOffset_ = R.Offset_;
-  Copy.Jobs_.emplace(Id, std::move(Job));
-  return {Change::Kind::Accepted, Id};
+  bool Void = isVoid(Copy, *Accepted, R.Offset_);
+  if (Known)
+    return Void ? Change{Change::Kind::Void, Id} : Change{};
+  if (!Void || hasProgress(Copy, Id))
+    return accept(Copy, Id, std::move(*Accepted), R.Offset_);
+  Copy.VoidJobs_[Id] = std::move(*Accepted);
+  return {Change::Kind::Void, Id};
+}
+
+void applyClosedQueue(Replica &Copy, const std::string &Queue,
+                      const KeyedRecord &R) {
+  ClosedQueue &Closed = Copy.ClosedQueues_[Queue];
+  std::uint64_t Version = parseClosedQueue(R.Value_);
+  if (Version > Closed.Version_)
+    Closed = {Version, R.Offset_};
 }
 
 /// The accepted job, or else a new or existing one in EarlyJobs_.
@@ -41,6 +76,8 @@
     return {};
   Job.Progress_ = std::move(*Progress);
   Job.ProgressOffset_ = R.Offset_;
+  if (auto Void = Copy.VoidJobs_.extract(Id))
+    return accept(Copy, Id, std::move(Void.mapped()), R.Offset_);
   return {Change::Kind::Progress, Id};
 }
 
@@ -74,6 +111,8 @@
   if (R.Value_.empty()) {
     bool Known = Name.Kind_ == RecordKind::Job && Copy.Jobs_.erase(Name.Job_);
     Copy.EarlyJobs_.erase(Name.Job_);
+    if (Name.Kind_ == RecordKind::Job)
+      Copy.VoidJobs_.erase(Name.Job_);
     return Known ? Change{Change::Kind::Removed, Name.Job_} : Change{};
   }
   switch (Name.Kind_) {
@@ -95,6 +134,9 @@
     return {};
   case RecordKind::Fence:
     return {Change::Kind::Fenced, {}, Name.Slice_, parseFence(R.Value_)};
+  case RecordKind::ClosedQueue:
+    applyClosedQueue(Copy, Name.Queue_, R);
+    return {};
   case RecordKind::Unknown:
     ++Copy.UnreadableRecords_;
     return {};
--- a/packages/ledger/tests/unit-replica.cpp
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -159,3 +159,72 @@
   cr_assert_eq(Copy.Rosters_.count("t"), 1u);
   cr_assert_eq(Copy.UnreadableRecords_, 0u);
 }
+
+namespace {
+
+/// The job "j1", accepted by \p Version, as in jobRecord().
+KeyedRecord jobOfVersion(std::uint64_t Version, Offset At) {
+  AcceptedJob J = *parseJob(jobRecord("x", At).Value_);
+  J.Version_ = Version;
+  KeyedRecord R = makeJob("j1", J);
+  R.Offset_ = At;
+  return R;
+}
+
+KeyedRecord closedQueue(std::uint64_t Version, Offset At) {
+  KeyedRecord R = makeClosedQueue("q", Version);
+  R.Offset_ = At;
+  return R;
+}
+
+} // namespace
+
+// Guards against TWICE: the same job is accepted for the queue's next service.
+Test(replica, a_job_stored_after_its_queue_was_closed_is_void) {
+  Replica Copy;
+  apply(Copy, closedQueue(2, 4));
+  cr_assert(apply(Copy, jobOfVersion(1, 5)).Kind_ == Change::Kind::Void);
+  cr_assert(Copy.Jobs_.empty());
+  cr_assert_eq(Copy.VoidJobs_.count("j1"), 1u);
+  apply(Copy, makeRemoval("j1").front());
+  cr_assert(Copy.VoidJobs_.empty());
+}
+
+Test(replica,
+     a_job_of_the_closing_version_or_of_an_earlier_record_is_accepted) {
+  Replica Later, Earlier;
+  apply(Later, closedQueue(2, 4));
+  cr_assert(apply(Later, jobOfVersion(2, 5)).Kind_ == Change::Kind::Accepted);
+  // As in a load: the closed queue comes first, whatever the offsets are.
+  apply(Earlier, closedQueue(2, 4));
+  cr_assert(apply(Earlier, jobOfVersion(1, 3)).Kind_ == Change::Kind::Accepted);
+}
+
+// Records of an earlier build tell no version.
+Test(replica, a_job_without_a_version_is_read) {
+  AcceptedJob J = *parseJob(jobRecord("x", 0).Value_);
+  auto Old = std::make_tuple(J.Queue_, J.AcceptedUnixMs_, J.Spec_);
+  auto Read = parseJob(pack(Old));
+  cr_assert(Read);
+  cr_assert_eq(Read->Version_, 0u);
+  cr_assert_eq(Read->Spec_.Payload_, "x");
+}
+
+// Guards against LOST: a void record replaces the first one in a load.
+Test(replica, progress_shows_that_a_job_with_a_void_record_was_accepted) {
+  Replica Copy;
+  apply(Copy, closedQueue(2, 4));
+  apply(Copy, jobOfVersion(1, 6));
+  Change C = apply(Copy, progressRecord(JobState::Running, 5));
+  cr_assert(C.Kind_ == Change::Kind::Accepted);
+  cr_assert(effectiveState(Copy.Jobs_.at("j1")) == JobState::Running);
+  cr_assert(apply(Copy, jobOfVersion(1, 7)).Kind_ == Change::Kind::Void);
+  cr_assert_eq(Copy.Jobs_.count("j1"), 1u);
+}
+
+Test(replica, a_late_record_does_not_reopen_a_queue) {
+  Replica Copy;
+  apply(Copy, closedQueue(3, 4));
+  apply(Copy, closedQueue(2, 6));
+  cr_assert(apply(Copy, jobOfVersion(2, 7)).Kind_ == Change::Kind::Void);
+}
--- a/packages/scheduler/detail/api.hpp
+++ b/packages/scheduler/detail/api.hpp
@@ -21,6 +21,11 @@
 /// A caller has cancelled the job. Does nothing if it is unknown or closed.
 void onCancel(State &State, const JobId &Id, TimePoint Now);
 
+/// A void record of the job has been stored. It replaces the first one for
+/// those who load the records from now on: progress shows that the job was
+/// accepted. Removes the record if the job is not known.
+void onVoidJob(State &State, const JobId &Id);
+
 /// The registry lists the worker, with its current properties.
 void onWorker(State &State, const WorkerInfo &Info, TimePoint Now);
 /// The registry no longer lists the worker.
--- a/packages/scheduler/src/jobs.cpp
+++ b/packages/scheduler/src/jobs.cpp
@@ -110,6 +110,14 @@
     detail::closeJob(State, *J, JobState::Cancelled, Now);
 }
 
+void onVoidJob(State &State, const JobId &Id) {
+  count(State.Counters_, "job-void");
+  if (Job *J = detail::findJob(State, Id))
+    detail::markDirty(State, *J);
+  else
+    State.ExpiredJobs_.insert(Id);
+}
+
 void onCatalog(State &State, const workflow::Catalog &C) {
   State.Catalog_ = C;
   for (auto &[Id, J] : State.Jobs_)
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -207,3 +207,34 @@
   C.takeOver(ownership::Predecessor::None);
   cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
 }
+
+// Guards against LOST: the record of a job that waits is replaced by a void
+// one, which later owners load. Its progress shows them that it was accepted.
+Test(takeover, a_waiting_job_with_a_void_record_is_stored_as_accepted) {
+  FleetCell C(std::vector<WorkerId>{});
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  C.run(Milliseconds(100));
+  cr_assert_eq(C.stored().Jobs_.at("j1").ProgressOffset_, 0u);
+  scheduler::onVoidJob(C.owner().State_, "j1");
+  C.run(Milliseconds(100));
+  cr_assert_gt(C.stored().Jobs_.at("j1").ProgressOffset_, 0u);
+}
+
+// A void record of a job that was never accepted goes.
+Test(takeover, a_void_record_of_an_unknown_job_is_removed) {
+  FleetCell C({"a"});
+  C.takeOver();
+  C.submit("j1", plainJob({plainStep(1)}));
+  scheduler::onVoidJob(C.owner().State_, "j2");
+  scheduler::Outbox Out;
+  C.owner().State_.PendingWrite_.reset();
+  scheduler::tick(C.owner().State_, C.Now_ + Milliseconds(100), 0, Out);
+  std::set<std::string> Keys;
+  for (const scheduler::WriteCall &W : Out.Writes_)
+    for (const ledger::KeyedRecord &R : W.Records_)
+      if (R.Value_.empty())
+        Keys.insert(R.Key_);
+  for (const ledger::KeyedRecord &R : ledger::makeRemoval("j2"))
+    cr_assert(Keys.count(R.Key_));
+}
--- a/tests/formats/unit-records.cpp
+++ b/tests/formats/unit-records.cpp
@@ -23,7 +23,8 @@
 ledger::AcceptedJob acceptedJob() {
   return {queue(),
           1'700'000'000'123,
-          {"payload", {workflow::StepSpec{}, fullStep()}, 3, 17, 50}};
+          {"payload", {workflow::StepSpec{}, fullStep()}, 3, 17, 50},
+          7};
 }
 
 Sample sample(const std::string &Label, const ledger::KeyedRecord &R) {
@@ -48,6 +49,7 @@
       sample("occurrence removal", makeOccurrenceRemoval("j1", 7)),
       sample("roster", makeRoster("s", {{"w1", "w2"}, 9, true})),
       sample("fence", makeFence("s", 300)),
+      sample("closed queue", makeClosedQueue("q", 300)),
   };
   for (const KeyedRecord &R : makeRemoval("j1"))
     Out.push_back(sample("removal", R));
