Intake: a job is stored once its service is known to every entry

Cause: entries know services by the configuration and by claims. A job may be accepted before any entry has claimed its service; entries that start when the configuration no longer names it read neither its partition nor claim it.

Change: before the first job of a service is stored, the service stands in the claims topic, by a claim or by its name. Jobs wait for that. The name goes before the claim when the last job is over, unless it was stored again since. An entry that serves a service only since a copy shows an open job of it names it again.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -55,6 +55,9 @@
     Intake_.TopicPartitions_ = Boot_.StorePartitions_;
     Intake_.StoreLimits_ = Boot_.StoreLimits_;
     Intake_.Clock_ = now;
+    Intake_.EnsureKnown_ = [this](const ServiceName &Service) {
+      return ownership::ensureKnown(Claims_, Service);
+    };
   }
 
   void run() {
@@ -152,9 +155,18 @@
     if (!Config_.Known_)
       return;
     Services_.update(Config_.Catalog_, Claims_, Intake_);
+    nameOpenServices();
     Copies_.followOnly(Services_.partitions(Boot_.StorePartitions_));
   }
 
+  /// Names services that are served only since a copy shows an open job of
+  /// them: their claim was removed while another entry accepted it.
+  void nameOpenServices() {
+    for (const ServiceName &Service : Services_.names())
+      if (!workflow::hasService(Config_.Catalog_, Service))
+        ownership::ensureKnown(Claims_, Service);
+  }
+
   void onJobAccepted(std::uint32_t Partition, const JobId &Job) {
     const auto &Jobs = Intake_.Partitions_.at(Partition).Replica_.Jobs_;
     Services_.onJobAccepted(Jobs.at(Job).Accepted_.Queue_.Service_);
@@ -186,7 +198,8 @@
     Call.ExpectedEnd_ = W.ExpectedEnd_;
     Store_.append(std::move(Call), [this, W](const ledger::AppendReply &R) {
       ownership::onWritten(Claims_, W, R, now());
-      if (R.Status_ == ledger::StoreStatus::Moved)
+      if (R.Status_ == ledger::StoreStatus::Moved ||
+          W.Kind_ == ownership::Write::Kind::Name)
         ledger::scheduleReadBy(ClaimTail_, now());
       postDueWork();
     });
--- a/apps/pollenvale/fleet/served_services.cpp
+++ b/apps/pollenvale/fleet/served_services.cpp
@@ -25,7 +25,7 @@
 void ServedServices::update(const workflow::Catalog &C,
                             const ownership::State &Claims,
                             const intake::Intake &Copies) {
-  std::set<ServiceName> Served = ownership::claimedSlices(Claims);
+  std::set<ServiceName> Served = ownership::knownSlices(Claims);
   for (const workflow::Service &S : C.Services_)
     Served.insert(S.Name_);
   for (const ServiceName &Name : Names_)
--- a/apps/pollenvale/fleet/served_services.hpp
+++ b/apps/pollenvale/fleet/served_services.hpp
@@ -9,8 +9,8 @@
 
 /// Services of the configuration in force, and those that have left it while
 /// the store still holds something of theirs: an accepted job ends by its own
-/// rules, whatever the configuration says later. Their claims show them to an
-/// entry that starts afterwards.
+/// rules, whatever the configuration says later. Their claims, or their names
+/// beside the claims, show them to an entry that starts afterwards.
 class ServedServices {
 public:
   /// Brings the set up to date. A service stays in it without being configured
--- a/apps/pollenvale/tests/unit-served-services.cpp
+++ b/apps/pollenvale/tests/unit-served-services.cpp
@@ -112,6 +112,15 @@
   cr_assert_not(E.serves("alpha"));
 }
 
+// Guards against LOST: jobs of a service that was never claimed, of which only
+// its name is stored.
+Test(served_services, a_name_shows_a_service_that_is_not_configured) {
+  Entry E;
+  E.configure({"beta"});
+  ownership::onRecord(E.Claims_, ownership::makeServiceName("alpha"), {});
+  cr_assert(E.serves("alpha"));
+}
+
 namespace {
 
 /// Answers nothing.
--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -60,7 +60,8 @@
   Reply Reply_;
 };
 
-/// A submitted job that waits until its queue is closed where it was before.
+/// A submitted job that waits until its service is known to all entries and its
+/// queue is closed where it was before.
 /// Nothing of it has been sent to the store.
 struct PendingSubmit {
   workflow::Queue Queue_;
@@ -89,6 +90,9 @@
   ledger::StoreLimits StoreLimits_;
   std::function<TimePoint()> Clock_; ///< Current time, read on each reply
                                      ///< of the store.
+  /// Whether every entry finds the jobs of the service, whatever its
+  /// configuration is; if not, sees to it. Empty: they always do.
+  std::function<bool(const ServiceName &)> EnsureKnown_;
   std::map<std::uint32_t, PartitionCopy> Partitions_; ///< By partition.
   std::list<PendingCall> PendingCalls_;
   std::list<PendingSubmit> PendingSubmits_;
--- a/packages/intake/src/submit.cpp
+++ b/packages/intake/src/submit.cpp
@@ -112,7 +112,9 @@
   std::vector<std::uint32_t> Open = openElsewhere(State, Submit.Queue_);
   for (std::uint32_t Partition : Open)
     closeQueue(State, Submit.Queue_.Name_, Partition, Now);
-  if (!Open.empty())
+  bool ServiceKnown =
+      !State.EnsureKnown_ || State.EnsureKnown_(Submit.Queue_.Service_);
+  if (!Open.empty() || !ServiceKnown)
     return false;
   ledger::AcceptedJob Accepted{Submit.Queue_, Submit.ReceivedUnixMs_,
                                std::move(Submit.Spec_), State.ConfigVersion_};
@@ -148,7 +150,7 @@
       continue;
     count(State.Counters_, "submit-rejected-moving");
     Submit.Reply_(rejected(ErrorKind::LogUnavailable,
-                           "the queue moves to another service"));
+                           "the queue's service is not settled yet"));
   }
 }
 
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -114,6 +114,31 @@
   cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
 }
 
+// Guards against LOST: no entry that starts later finds the job of a service
+// that nothing in the store names.
+Test(intake, a_job_waits_until_its_service_is_known) {
+  Fixture F;
+  bool Known = false;
+  F.Intake_.EnsureKnown_ = [&](const ServiceName &) { return Known; };
+  F.submit();
+  cr_assert(F.Store_.Appends_.empty());
+  Known = true;
+  tick(F.Intake_, F.Now_);
+  cr_assert_eq(F.Store_.Appends_.size(), 1u);
+  F.Store_.answer(StoreStatus::Done);
+  cr_assert(F.Answers_.at(0).Outcome_ == Outcome::Stored);
+}
+
+Test(intake, a_job_whose_service_stays_unknown_is_rejected_as_not_run) {
+  Fixture F;
+  F.Intake_.EnsureKnown_ = [](const ServiceName &) { return false; };
+  F.submit();
+  F.Now_ += Milliseconds(3'000);
+  tick(F.Intake_, F.Now_);
+  cr_assert(errorRow(F.Answers_.at(0).Error_.Kind_).Run_ == RunState::NotRun);
+  cr_assert(F.Store_.Appends_.empty());
+}
+
 Test(intake, a_known_job_is_not_stored_again) {
   Fixture F;
   F.read({F.record()});
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -85,12 +85,22 @@
   TimePoint ClaimedAt_{};
 };
 
+/// The name of a service that this entry stores. It is settled once it has been
+/// read.
+struct PendingName {
+  bool Sent_ = false;
+  TimePoint RetryAt_{}; ///< When a name that was not stored is sent again.
+};
+
 /// A slice that this entry gives up. Its release, or the removal of its claim,
 /// is sent again until it is stored, or a later claim makes it unnecessary.
 struct PendingRelease {
   ClaimNumber Number_ = 0; ///< Claim to release.
   std::uint32_t Generation_ = 0;
   bool Removes_ = false; ///< Removes the claim: no entry is to own the slice.
+  /// Offset of the name of the service that is removed before the claim. A
+  /// later one stays: jobs may have been accepted since.
+  std::optional<Offset> Name_;
   bool InFlight_ = false;
   unsigned Sends_ = 0;  ///< How often the release was sent.
   TimePoint RetryAt_{}; ///< When an unanswered release is sent again.
@@ -105,6 +115,9 @@
   std::map<SliceName, OwnedSlice> OwnSlices_;
   std::set<SliceName> ClaimsInFlight_;
   std::map<SliceName, PendingRelease> Releases_;
+  /// Services that the topic names apart from claims, by offset of the record.
+  std::map<SliceName, Offset> ServiceNames_;
+  std::map<SliceName, PendingName> PendingNames_; ///< To be stored.
   /// Since when the store has answered reads without a long gap.
   TimePoint ContactSince_{};
   TimePoint LastContactAt_{}; ///< Last answer of the store to a read.
@@ -122,7 +135,7 @@
 
 /// A write to the claims topic, to be made by the driver.
 struct Write {
-  enum class Kind { Claim, Release, Heartbeat };
+  enum class Kind { Claim, Release, Heartbeat, Name };
   Kind Kind_ = Kind::Heartbeat;
   SliceName Slice_; ///< Empty for a heartbeat.
   ledger::KeyedRecord Record_;
@@ -147,8 +160,14 @@
 /// Handles the store's reply to a write that tick() has returned.
 void onWritten(State &Claims, const Write &W, const ledger::AppendReply &Reply,
                TimePoint Now);
-/// Slices with a claim in the topic, held or released.
-std::set<SliceName> claimedSlices(const State &Claims);
+/// Slices with a claim in the topic, held or released, or with a name there:
+/// every entry finds them, whatever its configuration is.
+std::set<SliceName> knownSlices(const State &Claims);
+/// Whether the slice is one of knownSlices().
+bool isKnown(const State &Claims, const SliceName &Slice);
+/// Whether the slice is known. If not, has its name stored; no job of it may be
+/// accepted before.
+bool ensureKnown(State &Claims, const SliceName &Slice);
 /// Writes that are due. \p Wanted: slices that are to have an owner. \p End:
 /// end of the claims partition as far as it was read; empty while unknown.
 std::vector<Write> tick(State &Claims, const std::set<SliceName> &Wanted,
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -36,17 +36,22 @@
   MSGPACK_DEFINE(Node_, Address_, StartOffset_, Cpu_)
 };
 
-enum class RecordKind { Claim, Node, Unknown };
+enum class RecordKind { Claim, Node, Service, Unknown };
 
 /// Unknown if \p Key has no name or no known prefix.
 RecordKind kindOf(const std::string &Key);
-/// Slice of a claim's key or node name of a heartbeat's key. \p Key must not be
-/// empty.
+/// Slice of a claim's key, node name of a heartbeat's key or name of a service.
+/// \p Key must not be empty.
 std::string nameOf(const std::string &Key);
 ledger::KeyedRecord makeClaim(const SliceName &Slice, const ClaimRecord &R);
 /// Record without a value, which removes the claim of \p Slice.
 ledger::KeyedRecord makeClaimRemoval(const SliceName &Slice);
 ledger::KeyedRecord makeNode(const std::string &Name, const NodeRecord &R);
+/// Names a service of which jobs are about to be stored, for entries whose
+/// configuration does not name it.
+ledger::KeyedRecord makeServiceName(const SliceName &Slice);
+/// Record without a value, which removes the name of the service.
+ledger::KeyedRecord makeServiceNameRemoval(const SliceName &Slice);
 /// Empty if \p Value can't be decoded.
 std::optional<ClaimRecord> parseClaim(const std::string &Value);
 /// Empty if \p Value can't be decoded.
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -11,9 +11,17 @@
 /// Contact to the store counts as interrupted when the time between two answers
 /// is longer than this.
 constexpr Milliseconds MaxContactGap{1'500};
-/// Pause after a release that was refused or got no answer.
+/// Pause after a release, or a name, that was refused or got no answer.
 constexpr Milliseconds ReleaseRetryInterval{200};
 
+std::set<SliceName> claimedSlices(const State &Claims) {
+  std::set<SliceName> Out;
+  for (const auto &[Slice, View] : Claims.Slices_)
+    if (View.Number_ > 0)
+      Out.insert(Slice);
+  return Out;
+}
+
 void onClaim(State &Claims, const SliceName &Slice, const ClaimRecord &R,
              Offset Offset, TimePoint Now) {
   SliceView &View = Claims.Slices_[Slice];
@@ -152,6 +160,15 @@
   });
 }
 
+/// Whether the name of the service is to be removed before its claim: without
+/// either, entries that start would not find jobs that were accepted meanwhile.
+bool hasNameToRemove(const State &Claims, const SliceName &Slice,
+                     const PendingRelease &Release) {
+  auto Name = Claims.ServiceNames_.find(Slice);
+  return Release.Removes_ && Release.Name_ &&
+         Name != Claims.ServiceNames_.end() && Name->second == *Release.Name_;
+}
+
 void sendReleases(State &Claims, Offset End, TimePoint Now,
                   std::vector<Write> &Out) {
   dropSettledReleases(Claims);
@@ -162,7 +179,9 @@
     ClaimRecord R{Claims.Options_.Self_, Release.Generation_, Release.Number_,
                   Claims.Options_.Address_, Claims.StartOffset_};
     Write W{Write::Kind::Release, Slice, makeClaim(Slice, R), End};
-    if (Release.Removes_)
+    if (hasNameToRemove(Claims, Slice, Release))
+      W.Record_ = makeServiceNameRemoval(Slice);
+    else if (Release.Removes_)
       W.Record_ = makeClaimRemoval(Slice);
     W.Repeated_ = Release.Sends_++ > 0;
     Release.InFlight_ = true;
@@ -186,6 +205,12 @@
     Release.RetryAt_ = Now + ReleaseRetryInterval;
     return;
   }
+  if (kindOf(W.Record_.Key_) == RecordKind::Service) {
+    // The claim is removed next.
+    if (hasNameToRemove(Claims, W.Slice_, Release))
+      Claims.ServiceNames_.erase(W.Slice_);
+    return;
+  }
   auto View = Claims.Slices_.find(W.Slice_);
   bool Newest =
       View != Claims.Slices_.end() && View->second.Number_ == Release.Number_;
@@ -196,6 +221,25 @@
   Claims.Releases_.erase(It);
 }
 
+void sendNames(State &Claims, TimePoint Now, std::vector<Write> &Out) {
+  for (auto &[Slice, Pending] : Claims.PendingNames_) {
+    if (Pending.Sent_ || Now < Pending.RetryAt_)
+      continue;
+    Pending.Sent_ = true;
+    Out.push_back({Write::Kind::Name, Slice, makeServiceName(Slice), {}});
+  }
+}
+
+void onNameWritten(State &Claims, const Write &W,
+                   const ledger::AppendReply &Reply, TimePoint Now) {
+  auto It = Claims.PendingNames_.find(W.Slice_);
+  if (It == Claims.PendingNames_.end())
+    return;
+  // A stored name is in force once it has been read.
+  if (Reply.Status_ != StoreStatus::Done)
+    It->second = {false, Now + ReleaseRetryInterval};
+}
+
 bool holdsSlice(const State &Claims, const NodeId &Node) {
   return std::any_of(Claims.Slices_.begin(), Claims.Slices_.end(),
                      [&](const auto &V) {
@@ -246,25 +290,46 @@
     if (Node)
       onHeartbeat(Claims, Name, *Node, Now);
     Claims.UnreadableRecords_ += !Node;
+  } else if (kindOf(R.Key_) == RecordKind::Service) {
+    Claims.PendingNames_.erase(Name);
+    if (R.Value_.empty())
+      Claims.ServiceNames_.erase(Name);
+    else
+      Claims.ServiceNames_[Name] = R.Offset_;
   }
 }
 
 void onLoaded(State &Claims, const std::set<std::string> &Keys,
               Offset LoadEnd) {
+  std::erase_if(Claims.ServiceNames_, [&](const auto &Row) {
+    return Row.second < LoadEnd && !Keys.count(makeServiceName(Row.first).Key_);
+  });
   // A claim that was stored after the load began may be missing in it.
   for (const SliceName &Slice : claimedSlices(Claims))
     if (!Keys.count(makeClaimRemoval(Slice).Key_))
       onClaimRemoved(Claims, Slice, LoadEnd);
 }
 
-std::set<SliceName> claimedSlices(const State &Claims) {
-  std::set<SliceName> Out;
-  for (const auto &[Slice, View] : Claims.Slices_)
-    if (View.Number_ > 0)
-      Out.insert(Slice);
+bool isKnown(const State &Claims, const SliceName &Slice) {
+  auto View = Claims.Slices_.find(Slice);
+  return Claims.ServiceNames_.count(Slice) ||
+         (View != Claims.Slices_.end() && View->second.Number_ > 0);
+}
+
+std::set<SliceName> knownSlices(const State &Claims) {
+  std::set<SliceName> Out = claimedSlices(Claims);
+  for (const auto &[Slice, At] : Claims.ServiceNames_)
+    Out.insert(Slice);
   return Out;
 }
 
+bool ensureKnown(State &Claims, const SliceName &Slice) {
+  if (isKnown(Claims, Slice))
+    return true;
+  Claims.PendingNames_.try_emplace(Slice);
+  return false;
+}
+
 void onContact(State &Claims, TimePoint CurrentAt, TimePoint Now) {
   Claims.CurrentAt_ = std::max(Claims.CurrentAt_, CurrentAt);
   if (Claims.LastContactAt_ == TimePoint{} ||
@@ -280,6 +345,8 @@
     Claims.HeartbeatInFlight_ = false;
     return;
   }
+  if (W.Kind_ == Write::Kind::Name)
+    return onNameWritten(Claims, W, Reply, Now);
   if (W.Kind_ == Write::Kind::Release)
     return onReleaseWritten(Claims, W, Reply.Status_, Now);
   Claims.ClaimsInFlight_.erase(W.Slice_);
@@ -315,6 +382,7 @@
   }
   if (End)
     sendReleases(Claims, *End, Now, Out);
+  sendNames(Claims, Now, Out);
   if (Claims.Stopping_)
     return Out;
   if (End && Claims.StartOffset_ == 0)
@@ -362,6 +430,9 @@
     return;
   PendingRelease Release{Own.mapped().Number_, Own.mapped().Generation_};
   Release.Removes_ = true;
+  if (auto Name = Claims.ServiceNames_.find(Slice);
+      Name != Claims.ServiceNames_.end())
+    Release.Name_ = Name->second;
   Claims.Releases_[Slice] = Release;
 }
 
--- a/packages/ownership/src/records.cpp
+++ b/packages/ownership/src/records.cpp
@@ -6,6 +6,7 @@
 
 constexpr char ClaimPrefix = 's';
 constexpr char NodePrefix = 'n';
+constexpr char ServicePrefix = 'v';
 
 } // namespace
 
@@ -14,6 +15,8 @@
     return RecordKind::Unknown;
   if (Key[0] == ClaimPrefix)
     return RecordKind::Claim;
+  if (Key[0] == ServicePrefix)
+    return RecordKind::Service;
   return Key[0] == NodePrefix ? RecordKind::Node : RecordKind::Unknown;
 }
 
@@ -31,6 +34,14 @@
   return {NodePrefix + Name, pack(R)};
 }
 
+ledger::KeyedRecord makeServiceName(const SliceName &Slice) {
+  return {ServicePrefix + Slice, "1"};
+}
+
+ledger::KeyedRecord makeServiceNameRemoval(const SliceName &Slice) {
+  return {ServicePrefix + Slice, ""};
+}
+
 std::optional<ClaimRecord> parseClaim(const std::string &Value) {
   return unpack<ClaimRecord>(Value);
 }
--- a/packages/ownership/tests/unit-retired-slices.cpp
+++ b/packages/ownership/tests/unit-retired-slices.cpp
@@ -86,7 +86,7 @@
   cr_assert(Writes[0].Record_.Value_.empty());
   E.append({Write::Kind::Heartbeat, {}, makeNode("n9", {"n9.1", "n9:1", 1})});
   cr_assert(E.append(Writes[0]).Status_ == StoreStatus::Moved);
-  cr_assert_eq(claimedSlices(E.State_).size(), 1u);
+  cr_assert_eq(knownSlices(E.State_).size(), 1u);
 }
 
 // Guards against a retired service that only entries with a broken connection
@@ -102,5 +102,5 @@
   cr_assert(E.owns(), "loaded");
   onLoaded(E.State_, {"nn0"}, E.End_);
   cr_assert_not(E.owns());
-  cr_assert(claimedSlices(E.State_).empty());
+  cr_assert(knownSlices(E.State_).empty());
 }
--- a/tests/formats/unit-records.cpp
+++ b/tests/formats/unit-records.cpp
@@ -63,7 +63,8 @@
       {sample("claim", makeClaim("s", {"e1.a1", 3, 0, "10.0.0.1:7380", 41})),
        sample("given up",
               makeClaim("s", {"e1.a1", 3, 42, "10.0.0.1:7380", 41})),
-       sample("node", makeNode("e1", {"e1.a1", "10.0.0.1:7380", 41, 240}))});
+       sample("node", makeNode("e1", {"e1.a1", "10.0.0.1:7380", 41, 240})),
+       sample("service name", makeServiceName("s"))});
 }
 
 Test(formats, records_of_the_log_service) {
