Intake: a job is looked for in every partition where it may be

Cause: such a call waited for the copy of the present service's partition only. Evidence: moved_queue/a_job_of_a_moved_queue_is_waited_for_where_it_may_be fails with the change taken back.

Change: it waits for each copy that has had jobs of the queue, or that the queue has left while the process ran.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -409,8 +409,8 @@
            onJobAccepted(Partition, Change.Job_);
          Slices_.onRecord(Partition, Change);
        },
-       [this](std::uint32_t Partition) {
-         intake::onCopyUpdated(Intake_, Partition, now());
+       [this] {
+         intake::onCopyUpdated(Intake_, now());
          postDueWork();
        }}};
   PolicyCalls PolicyCalls_{Peers_, Client_, Counters_,
--- a/apps/pollenvale/fleet/job_copies.cpp
+++ b/apps/pollenvale/fleet/job_copies.cpp
@@ -31,7 +31,7 @@
     if (Change.Kind_ != ledger::Change::Kind::None)
       Events_.OnChange_(Partition, Change);
   };
-  Events.OnAnswer_ = [this, Partition] { Events_.OnUpdated_(Partition); };
+  Events.OnAnswer_ = [this] { Events_.OnUpdated_(); };
   Events.OnLoadBegins_ = [&Copy] { ledger::beginLoad(Copy.Replica_); };
   // The spacing of reads is set once it is known who owns the slices.
   Followers_[Partition] =
--- a/apps/pollenvale/fleet/job_copies.hpp
+++ b/apps/pollenvale/fleet/job_copies.hpp
@@ -14,7 +14,7 @@
       OnChange_;
   /// Called after each answer of the store and each delivery, once the copy
   /// holds its records.
-  std::function<void(std::uint32_t Partition)> OnUpdated_;
+  std::function<void()> OnUpdated_;
 };
 
 class JobCopies {
--- a/apps/pollenvale/tests/unit-served-services.cpp
+++ b/apps/pollenvale/tests/unit-served-services.cpp
@@ -147,7 +147,7 @@
                           {[](std::uint32_t, const ledger::Change &) {
                              cr_assert_fail("the copy was dropped");
                            },
-                           [](std::uint32_t) {}});
+                           [] {}});
   Copies.followOnly({1, 2});
   cr_assert_eq(Intake.Partitions_.size(), 2u);
   Copies.followOnly({2, 3});
--- a/packages/intake/detail/intake.hpp
+++ b/packages/intake/detail/intake.hpp
@@ -32,10 +32,11 @@
 /// Receives the answer, once for each call.
 using Reply = std::function<void(Answer)>;
 
-/// A state query or cancellation of a job that the copy does not hold yet. It
-/// is answered when the job appears or the copy is newer than the call.
+/// A state query or cancellation of a job that no copy holds yet. It is
+/// answered when the job appears, or when every copy that may lack it is newer
+/// than the call.
 struct PendingCall {
-  std::uint32_t Partition_ = 0;
+  workflow::Queue Queue_;
   JobId Job_;
   bool Cancel_ = false; ///< Cancellation; otherwise a state query.
   TimePoint ReceivedAt_{};
@@ -136,9 +137,9 @@
 /// Number of accepted jobs of the queue that have no started task.
 std::size_t countPendingJobs(const Intake &State, const workflow::Queue &Q);
 
-/// Called after the copy of \p Partition was read: answers the pending calls
+/// Called after a copy was read: answers the pending calls
 /// that it can answer now, and retries writes.
-void onCopyUpdated(Intake &State, std::uint32_t Partition, TimePoint Now);
+void onCopyUpdated(Intake &State, TimePoint Now);
 /// Rejects pending calls that have expired, and retries or abandons writes.
 void tick(Intake &State, TimePoint Now);
 /// Answers every call that waits, as the process ends soon. From then on, calls
--- a/packages/intake/detail/submits.hpp
+++ b/packages/intake/detail/submits.hpp
@@ -34,6 +34,11 @@
 StoredJob findJobOfQueue(const Intake &State, const workflow::Queue &Q,
                          const JobId &Job);
 
+/// Partitions that may hold jobs of the queue: that of its service, and those
+/// of its former ones.
+std::vector<std::uint32_t> partitionsOf(const Intake &State,
+                                        const workflow::Queue &Q);
+
 /// Stores \p Record, which is about \p Job, and answers once that is certain.
 void addWrite(Intake &State, std::uint32_t Partition, const JobId &Job,
               bool Cancel, ledger::KeyedRecord Record, const CallTimes &T,
--- a/packages/intake/src/intake.cpp
+++ b/packages/intake/src/intake.cpp
@@ -236,24 +236,55 @@
 }
 
 void answerKnownJob(Intake &State, const PendingCall &Call,
-                    const ledger::ReplicatedJob &Row, TimePoint Now) {
+                    const StoredJob &Known, TimePoint Now) {
   if (!Call.Cancel_) {
-    Call.Reply_({Outcome::State, ledger::effectiveState(Row)});
+    Call.Reply_({Outcome::State, ledger::effectiveState(*Known.Row_)});
     return;
   }
   CallTimes T{Now, 0, elapsed(Now, Call.ExpiresAt_) + AnswerMargin};
-  storeCancellation(State, Call.Partition_, Call.Job_, Row, T, Call.Reply_);
+  storeCancellation(State, Known.Partition_, Call.Job_, *Known.Row_, T,
+                    Call.Reply_);
 }
 
-void waitForCopy(Intake &State, std::uint32_t Partition, const JobId &Job,
-                 bool Cancel, const CallTimes &T, Reply Done) {
+/// Whether all copies that may hold jobs of the queue are newer than \p Since.
+bool areCopiesNewer(const Intake &State, const workflow::Queue &Q,
+                    TimePoint Since) {
+  std::vector<std::uint32_t> Places = partitionsOf(State, Q);
+  return std::all_of(Places.begin(), Places.end(), [&](std::uint32_t Place) {
+    auto Copy = State.Partitions_.find(Place);
+    return Copy != State.Partitions_.end() &&
+           Copy->second.Tail_.CurrentAt_ > Since;
+  });
+}
+
+void waitForCopies(Intake &State, const workflow::Queue &Q, const JobId &Job,
+                   bool Cancel, const CallTimes &T, Reply Done) {
   if (State.Stopped_)
     return Done(rejectedByStop());
-  State.PendingCalls_.push_back({Partition, Job, Cancel, T.Now_,
-                                 T.Now_ + answerTimeout(T), std::move(Done)});
-  auto Copy = State.Partitions_.find(Partition);
-  if (Copy != State.Partitions_.end())
-    ledger::scheduleReadBy(Copy->second.Tail_, T.Now_);
+  State.PendingCalls_.push_back(
+      {Q, Job, Cancel, T.Now_, T.Now_ + answerTimeout(T), std::move(Done)});
+  for (std::uint32_t Place : partitionsOf(State, Q))
+    if (auto Copy = State.Partitions_.find(Place);
+        Copy != State.Partitions_.end())
+      ledger::scheduleReadBy(Copy->second.Tail_, T.Now_);
+}
+
+/// Answers the calls that the copies can answer now.
+void answerPendingCalls(Intake &State, TimePoint Now) {
+  for (auto It = State.PendingCalls_.begin();
+       It != State.PendingCalls_.end();) {
+    StoredJob Known = findJobOfQueue(State, It->Queue_, It->Job_);
+    if (!Known.Row_ && !areCopiesNewer(State, It->Queue_, It->ReceivedAt_)) {
+      ++It;
+      continue;
+    }
+    PendingCall Call = std::move(*It);
+    It = State.PendingCalls_.erase(It);
+    if (Known.Row_)
+      answerKnownJob(State, Call, Known, Now);
+    else
+      Call.Reply_({Outcome::Unknown});
+  }
 }
 
 } // namespace
@@ -300,7 +331,7 @@
     Done({Outcome::State, ledger::effectiveState(*Known.Row_)});
     return;
   }
-  waitForCopy(State, Known.Partition_, Job, false, T, std::move(Done));
+  waitForCopies(State, Q, Job, false, T, std::move(Done));
 }
 
 void cancel(Intake &State, const workflow::Queue &Q, const JobId &Job,
@@ -311,7 +342,7 @@
                       std::move(Done));
     return;
   }
-  waitForCopy(State, Known.Partition_, Job, true, T, std::move(Done));
+  waitForCopies(State, Q, Job, true, T, std::move(Done));
 }
 
 std::size_t countPendingJobs(const Intake &State, const workflow::Queue &Q) {
@@ -323,30 +354,12 @@
   return Count;
 }
 
-void onCopyUpdated(Intake &State, std::uint32_t Partition, TimePoint Now) {
+void onCopyUpdated(Intake &State, TimePoint Now) {
   if (isStoreReachable(State, Now))
     State.OutageSince_.reset();
   retryWrites(State, Now);
   retrySubmits(State, Now);
-  const PartitionCopy &Copy = State.Partitions_.at(Partition);
-  for (auto It = State.PendingCalls_.begin();
-       It != State.PendingCalls_.end();) {
-    const ledger::ReplicatedJob *Row = It->Partition_ == Partition
-                                           ? findJob(State, Partition, It->Job_)
-                                           : nullptr;
-    bool Absent = It->Partition_ == Partition && !Row &&
-                  Copy.Tail_.CurrentAt_ > It->ReceivedAt_;
-    if (!Row && !Absent) {
-      ++It;
-      continue;
-    }
-    PendingCall Call = std::move(*It);
-    It = State.PendingCalls_.erase(It);
-    if (Row)
-      answerKnownJob(State, Call, *Row, Now);
-    else
-      Call.Reply_({Outcome::Unknown});
-  }
+  answerPendingCalls(State, Now);
 }
 
 void tick(Intake &State, TimePoint Now) {
--- a/packages/intake/src/submit.cpp
+++ b/packages/intake/src/submit.cpp
@@ -136,6 +136,16 @@
 
 namespace detail {
 
+std::vector<std::uint32_t> partitionsOf(const Intake &State,
+                                        const workflow::Queue &Q) {
+  std::vector<std::uint32_t> Out{
+      partitionOf(Q.Service_, State.TopicPartitions_)};
+  for (const auto &[Number, Copy] : State.Partitions_)
+    if (Number != Out.front() && versionToClose(State, Q.Name_, Number) > 0)
+      Out.push_back(Number);
+  return Out;
+}
+
 void retrySubmits(Intake &State, TimePoint Now) {
   for (auto It = State.PendingSubmits_.begin();
        It != State.PendingSubmits_.end();) {
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -69,7 +69,7 @@
     Now_ += Milliseconds(2);
     Copy.Tail_.Reachable_ = true;
     Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
-    onCopyUpdated(Intake_, Partition_, Now_);
+    onCopyUpdated(Intake_, Now_);
   }
 
   CallTimes times() const { return {Now_, 0, Milliseconds(3'000)}; }
--- a/packages/intake/tests/unit-moved-queue.cpp
+++ b/packages/intake/tests/unit-moved-queue.cpp
@@ -57,17 +57,21 @@
     onCatalog(Intake_, Catalog_, C);
     Catalog_ = C;
   }
-  /// Reads all records of both partitions that are new.
+  /// Reads all records of the service's partition that are new.
+  void read(const ServiceName &Service) {
+    std::uint32_t Number = partitionOf(Service, Partitions);
+    auto &Records = Log_.Records_[Number];
+    PartitionCopy &Copy = Intake_.Partitions_.at(Number);
+    Now_ += Milliseconds(2);
+    for (; Copy.Tail_.Next_ < Records.size(); ++Copy.Tail_.Next_)
+      ledger::apply(Copy.Replica_, Records[Copy.Tail_.Next_]);
+    Copy.Tail_.Reachable_ = true;
+    Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
+    onCopyUpdated(Intake_, Now_);
+  }
   void read() {
-    for (auto &[Number, Copy] : Intake_.Partitions_) {
-      auto &Records = Log_.Records_[Number];
-      Now_ += Milliseconds(2);
-      for (; Copy.Tail_.Next_ < Records.size(); ++Copy.Tail_.Next_)
-        ledger::apply(Copy.Replica_, Records[Copy.Tail_.Next_]);
-      Copy.Tail_.Reachable_ = true;
-      Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
-      onCopyUpdated(Intake_, Number, Now_);
-    }
+    read("alpha");
+    read("beta");
   }
   void submit(const JobId &Job) {
     workflow::WorkflowSpec Spec;
@@ -76,6 +80,15 @@
                    {Now_, 0, Milliseconds(3'000)},
                    [this](const Answer &A) { Answers_.push_back(A); });
   }
+  void ask(const JobId &Job, bool Cancel) {
+    CallTimes T{Now_, 0, Milliseconds(3'000)};
+    auto Done = [this](const Answer &A) { Answers_.push_back(A); };
+    const workflow::Queue &Q = Catalog_.Queues_.front();
+    if (Cancel)
+      intake::cancel(Intake_, Q, Job, T, Done);
+    else
+      queryState(Intake_, Q, Job, T, Done);
+  }
   /// Reads until the entry has nothing more to do.
   void settle() {
     for (int I = 0; I < 4; ++I)
@@ -219,3 +232,31 @@
   cr_assert(isAccepted(M.Present_));
   cr_assert_eq(M.services("j1"), std::vector<ServiceName>{"alpha"});
 }
+
+// Guards against LOST: right after its queue had moved, a job was answered 410
+// by an entry that had not read it yet, and its cancellation, too.
+Test(moved_queue, a_job_of_a_moved_queue_is_waited_for_where_it_may_be) {
+  for (bool Cancel : {false, true}) {
+    MovingQueue M;
+    M.Stale_.submit("j1");
+    M.Present_.configure(catalog(2, "beta"));
+    M.Present_.ask("j1", Cancel);
+    M.Present_.read("beta");
+    cr_assert(M.Present_.Answers_.empty(), "it may be in the other copy");
+    M.Present_.read("alpha");
+    M.Present_.settle();
+    cr_assert_eq(M.Present_.Answers_.size(), 1u);
+    cr_assert(M.Present_.Answers_[0].Outcome_ ==
+              (Cancel ? Outcome::Stored : Outcome::State));
+  }
+}
+
+Test(moved_queue, an_unknown_job_is_answered_once_both_copies_are_newer) {
+  MovingQueue M;
+  M.Present_.configure(catalog(2, "beta"));
+  M.Present_.ask("j9", false);
+  M.Present_.read("alpha");
+  cr_assert(M.Present_.Answers_.empty());
+  M.Present_.read("beta");
+  cr_assert(M.Present_.Answers_.at(0).Outcome_ == Outcome::Unknown);
+}
