Scheduler: a later owner waits for leases that a restarted worker has misread

Cause: a worker takes the deadline of a call that was meant for its former life for one on its new clock, and grants the longest lease (holdMaxMs). The owner that sent it counts on that once it learns of the restart; the next one waited for ordinary leases, whether or not the former one had learnt of it.

Change: the roster names the incarnation by whose clock the leases of a worker are, before any is given, and the workers that may hold a misread one. A new owner waits for the longest lease of those, and of workers that the registry shows to have restarted since, until they answer. An owner counts on it also when only the registry has shown the restart. Workers that are known but whose incarnation isn't stored yet are asked for their lists, without a lease; the pause after a list without a lease is zero only if a lease is due.

--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -98,6 +98,9 @@
   Options.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
       Claim_, Roster,
       std::max(Options.Lease_, Options.OutageLease_) + LeaseMargin, SelfFence_);
+  Options.MisreadLeasesEndAt_ = ownership::inheritedLeasesEnd(
+      Claim_, Roster,
+      scheduler::longestOnClock(Options.MaxLease_) + LeaseMargin, SelfFence_);
   State_ = scheduler::makeState(std::move(Options), *Context_.Catalog_, Roster);
   Configured_ = workflow::hasService(*Context_.Catalog_, Slice_);
   WorkersNeededAt_ = now();
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -26,7 +26,13 @@
   std::uint64_t Claim_ = 0; ///< Claim number of the owner that wrote it.
   /// The writer knew on which worker every task of the earlier owners was.
   bool Settled_ = false;
-  MSGPACK_DEFINE(Workers_, Claim_, Settled_)
+  /// The incarnation of each of Workers_, as Unix time of its start in ms, by
+  /// whose clock the leases are. Empty in records of an earlier build.
+  std::vector<std::int64_t> Incarnations_;
+  /// Workers that may hold a lease by the clock of a former incarnation, which
+  /// lasts longer than those that an owner gives.
+  std::vector<WorkerId> MisreadLeases_;
+  MSGPACK_DEFINE(Workers_, Claim_, Settled_, Incarnations_, MisreadLeases_)
 };
 
 enum class RecordKind {
--- a/packages/scheduler/detail/api.hpp
+++ b/packages/scheduler/detail/api.hpp
@@ -7,6 +7,9 @@
 
 namespace pollenvale::scheduler {
 
+/// How long \p Lease, measured on a worker's clock, may last.
+Milliseconds longestOnClock(Milliseconds Lease);
+
 /// State of a new owner. \p Roster lists the workers on which an earlier owner
 /// may have started tasks.
 State makeState(Options O, const workflow::Catalog &C,
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -128,7 +128,8 @@
   WorkerInfo Info_;
   bool InRegistry_ = true;     ///< The registry lists it.
   TimePoint LeftRegistryAt_{}; ///< When the registry dropped it.
-  bool Rostered_ = false;      ///< A stored roster contains it.
+  /// A stored roster contains its incarnation; see rosterIncarnation().
+  bool Rostered_ = false;
   /// Draining and without tasks: it gets no lease and is left out of the
   /// roster, so that no later owner waits for it.
   bool Released_ = false;
@@ -149,9 +150,12 @@
   TimePoint SilentSince_{}; ///< When the first conclusive miss was sent.
   /// Latest expiry of the leases that this owner has granted there.
   TimePoint LeaseEndsAt_{};
+  /// Until when it may hold a lease by the clock of a former incarnation.
+  TimePoint MisreadLeaseEndsAt_{};
   /// When the last renewal was sent that has been answered.
   TimePoint AnsweredSentAt_{};
-  /// When a lease was last sent by a start or by an unanswered renewal.
+  bool LeaseInFlight_ = false; ///< The renewal in flight grants a lease.
+  /// When a lease was last sent by an unanswered renewal.
   TimePoint UnconfirmedLeaseSentAt_{};
   /// By task and run; see recordStartSent().
   std::map<std::pair<TaskId, std::uint32_t>, UnconfirmedStart>
@@ -179,6 +183,9 @@
   TimePoint ClaimedAt_{};
   /// Latest expiry of leases granted by earlier owners.
   TimePoint InheritedLeasesEndAt_{};
+  /// The same for workers that have taken the deadline of a lease for one on
+  /// the clock of a later incarnation.
+  TimePoint MisreadLeasesEndAt_{};
   /// Short, so that tasks of a silent worker soon start elsewhere.
   Milliseconds Lease_{3'400};
   /// Lease while the store is unreachable. Tasks must outlast the time in which
@@ -218,7 +225,8 @@
 struct PendingWrite {
   std::uint64_t Id_ = 0;
   std::vector<PendingAck> Acks_;
-  std::vector<WorkerId> Roster_; ///< Workers in the roster that it writes.
+  /// Workers in the roster that it writes, with their incarnations.
+  std::map<WorkerId, std::int64_t> Roster_;
   bool HasRoster_ = false;
   std::vector<JobId> Removed_; ///< Jobs whose records it removes.
   /// Occurrences whose records it removes.
@@ -246,6 +254,10 @@
   /// Workers of the inherited roster that may run inherited tasks and have not
   /// answered.
   std::set<WorkerId> UnconfirmedWorkers_;
+  /// By worker of the inherited roster: the incarnation that it names.
+  std::map<WorkerId, std::int64_t> InheritedIncarnations_;
+  /// Of the workers of the inherited roster, those with a misread lease.
+  std::set<WorkerId> InheritedMisreadLeases_;
   bool InheritancePending_ =
       false; ///< UnconfirmedWorkers_ has not been empty yet.
   std::set<StepId> WaitingSteps_;      ///< Ready steps with tasks to start.
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -108,11 +108,19 @@
 /// an acknowledgement for one of its present incarnation, which would forget
 /// ends that it has not listed.
 bool mayAcknowledge(const Worker &W);
-/// Processes that the incarnation in \p Reply has answered \p Call, which was
+/// The incarnation by whose clock this owner gives leases, as the roster names
+/// it.
+std::int64_t rosterIncarnation(const Worker &W);
+/// When the last lease that an earlier owner gave to the worker expires.
+TimePoint inheritedLeasesEnd(const State &State, const WorkerId &Id);
+/// Accounts for a lease by the clock of the former incarnation, unless all that
+/// were sent have certainly reached that one. Call it when the worker turns out
+/// to have restarted.
+void extendMisreadLease(State &State, Worker &W, TimePoint Now);
+/// Processes that the incarnation in \p Reply has answered a renewal, which was
 /// sent at \p SentAt: resets what belongs to a former one.
-void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
-                       const RenewReply &Reply, TimePoint SentAt,
-                       TimePoint Now);
+void updateIncarnation(State &State, Worker &W, const RenewReply &Reply,
+                       TimePoint SentAt, TimePoint Now);
 /// Resources available to new tasks.
 Resources freeResources(const Worker &W);
 /// Whether new tasks may start on the worker.
--- a/packages/scheduler/src/incarnations.cpp
+++ b/packages/scheduler/src/incarnations.cpp
@@ -33,15 +33,17 @@
   });
 }
 
-/// Accounts for leases that were computed from the clock of the former
-/// incarnation and may have reached the present one. As its clock is lower, it
-/// shortened them only to the longest lease that it grants.
-void extendMisreadLease(State &State, Worker &W, const RenewCall &Call,
-                        TimePoint Now) {
-  if (!Call.LeaseUntil_ && W.UnconfirmedLeaseSentAt_ < W.AnsweredSentAt_)
-    return;
-  count(State.Counters_, "lease-misread");
-  extendLease(State, W, State.Options_.MaxLease_, Now);
+/// Whether the restart of a worker of the inherited roster is known or may have
+/// come before its last lease: it may have taken the deadline of a lease for
+/// one on its new clock.
+bool mayHoldMisreadLease(const State &State, const WorkerId &Id) {
+  if (State.InheritedMisreadLeases_.count(Id))
+    return true;
+  auto Named = State.InheritedIncarnations_.find(Id);
+  auto Present = State.Workers_.find(Id);
+  return Named != State.InheritedIncarnations_.end() &&
+         Present != State.Workers_.end() &&
+         Present->second.Info_.StartedUnixMs_ > Named->second;
 }
 
 } // namespace
@@ -51,7 +53,6 @@
 }
 
 void recordStartSent(Worker &W, const StartCall &Call, TimePoint Now) {
-  W.UnconfirmedLeaseSentAt_ = Now;
   W.UnconfirmedStarts_[{Call.Task_, Call.Run_}] = {Now};
 }
 
@@ -70,17 +71,45 @@
   return W.Misses_ == 0 && isClockCurrent(W) && W.UnconfirmedStarts_.empty();
 }
 
-void updateIncarnation(State &State, Worker &W, const RenewCall &Call,
-                       const RenewReply &Reply, TimePoint SentAt,
-                       TimePoint Now) {
-  confirmStarts(W, SentAt);
-  if (W.RunsKnown_ && W.Incarnation_ == Reply.StartedUnixMs_)
+std::int64_t rosterIncarnation(const Worker &W) {
+  return W.RunsKnown_ ? W.Incarnation_ : W.Info_.StartedUnixMs_;
+}
+
+TimePoint inheritedLeasesEnd(const State &State, const WorkerId &Id) {
+  const Options &O = State.Options_;
+  return mayHoldMisreadLease(State, Id)
+             ? std::max(O.InheritedLeasesEndAt_, O.MisreadLeasesEndAt_)
+             : O.InheritedLeasesEndAt_;
+}
+
+void extendMisreadLease(State &State, Worker &W, TimePoint Now) {
+  bool Reached = !W.LeaseInFlight_ && W.UnconfirmedStarts_.empty() &&
+                 W.UnconfirmedLeaseSentAt_ < W.AnsweredSentAt_;
+  if (Reached)
     return;
+  count(State.Counters_, "lease-misread");
+  // Its clock is lower, so it shortened the lease to the longest that it
+  // grants.
+  extendLease(State, W, State.Options_.MaxLease_, Now);
+  W.MisreadLeaseEndsAt_ = W.LeaseEndsAt_;
+  State.RosterDirty_ = true;
+}
+
+void updateIncarnation(State &State, Worker &W, const RenewReply &Reply,
+                       TimePoint SentAt, TimePoint Now) {
+  if (W.RunsKnown_ && W.Incarnation_ == Reply.StartedUnixMs_)
+    return confirmStarts(W, SentAt);
   if (W.RunsKnown_) {
     count(State.Counters_, "worker-restarted");
-    extendMisreadLease(State, W, Call, Now);
+    extendMisreadLease(State, W, Now);
     forgetAdvice(State, W.Info_.Id_);
   }
+  if (rosterIncarnation(W) != Reply.StartedUnixMs_) {
+    // A later owner has to know by whose clock the leases are.
+    W.Rostered_ = false;
+    State.RosterDirty_ = true;
+  }
+  confirmStarts(W, SentAt);
   W.Incarnation_ = Reply.StartedUnixMs_;
   W.SeenEnd_ = W.StoredEnd_ = W.SentAck_ = 0;
   W.FailedJobs_.clear();
--- a/packages/scheduler/src/liveness.cpp
+++ b/packages/scheduler/src/liveness.cpp
@@ -38,7 +38,7 @@
 /// owners.
 TimePoint leasesEnd(const State &State, const Worker &W) {
   return State.UnconfirmedWorkers_.count(W.Info_.Id_)
-             ? std::max(W.LeaseEndsAt_, State.Options_.InheritedLeasesEndAt_)
+             ? std::max(W.LeaseEndsAt_, inheritedLeasesEnd(State, W.Info_.Id_))
              : W.LeaseEndsAt_;
 }
 
--- a/packages/scheduler/src/renewals.cpp
+++ b/packages/scheduler/src/renewals.cpp
@@ -103,11 +103,13 @@
     Worker &W = It->second;
     // The answer to the call in flight, or the stored roster, schedules the
     // next renewal.
-    if (W.RenewInFlight_ || !(W.Rostered_ || W.Released_))
+    bool MayCall = W.Rostered_ || W.Released_ || W.RunsKnown_;
+    if (W.RenewInFlight_ || !MayCall)
       continue;
     Out.Renewals_.push_back(makeRenewal(State, W, Now));
     recordAck(W, Out.Renewals_.back().AckedEnd_, Now, Out);
     W.RenewInFlight_ = true;
+    W.LeaseInFlight_ = Out.Renewals_.back().LeaseUntil_.has_value();
   }
 }
 
@@ -137,7 +139,7 @@
 void confirmByList(State &State, const WorkerId &Id, const RenewReply &Reply,
                    TimePoint Now) {
   bool Omitted = Reply.Ended_.size() >= MaxEndsListed;
-  bool WaitedLongEnough = Now >= State.Options_.InheritedLeasesEndAt_;
+  bool WaitedLongEnough = Now >= inheritedLeasesEnd(State, Id);
   if (isComplete(Reply) || (!Omitted && WaitedLongEnough))
     confirmWorker(State, Id);
 }
@@ -229,9 +231,8 @@
   }
 }
 
-void handleMiss(State &State, Worker &W, const RenewCall &Call,
-                TimePoint SentAt, TimePoint Now) {
-  if (Call.LeaseUntil_)
+void handleMiss(State &State, Worker &W, TimePoint SentAt, TimePoint Now) {
+  if (std::exchange(W.LeaseInFlight_, false))
     W.UnconfirmedLeaseSentAt_ = std::max(W.UnconfirmedLeaseSentAt_, SentAt);
   recordMissedRenewal(State, W, SentAt, Now);
   count(State.Counters_, "renewal-no-answer");
@@ -269,13 +270,13 @@
     detail::confirmWorker(State, Call.Target_.Worker_);
     W.LeaseEndsAt_ = std::min(W.LeaseEndsAt_, Now);
     detail::abandonTasks(State, W, Now, Out, "replaced");
-    detail::handleMiss(State, W, Call, SentAt, Now);
+    detail::handleMiss(State, W, SentAt, Now);
     detail::scheduleRenewal(State, W, Now + Milliseconds(1'000));
     return;
   }
   if (Reply.Status_ != CallStatus::Done) {
     detail::traceMiss(State, W, Call, SentAt, Now, Out);
-    detail::handleMiss(State, W, Call, SentAt, Now);
+    detail::handleMiss(State, W, SentAt, Now);
     return;
   }
   if (std::size_t Unreadable = Reply.UnreadableRuns_ + Reply.UnreadableEnds_)
@@ -284,8 +285,9 @@
   W.Clock_ = Reply.Clock_;
   W.ClockAt_ = Now;
   bool First = !W.RunsKnown_;
-  detail::updateIncarnation(State, W, Call, Reply, SentAt, Now);
+  detail::updateIncarnation(State, W, Reply, SentAt, Now);
   W.RunsKnown_ = true;
+  W.LeaseInFlight_ = false;
   W.AnsweredSentAt_ = SentAt;
   for (const EndedTask &End : Reply.Ended_) {
     if (End.Number_ <= W.SeenEnd_) {
@@ -309,8 +311,8 @@
                            {"ended", Reply.Ended_.size()}}});
   }
   // The reply gives the worker's clock, which the first lease needs.
-  Milliseconds Pause =
-      Call.LeaseUntil_ ? detail::renewalPause(W) : Milliseconds(0);
+  bool LeaseDue = W.Rostered_ && !Call.LeaseUntil_;
+  Milliseconds Pause = LeaseDue ? Milliseconds(0) : detail::renewalPause(W);
   detail::scheduleRenewal(State, W, Now + Pause);
 }
 
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -12,6 +12,11 @@
   State.Catalog_ = C;
   State.UnconfirmedWorkers_ = {Roster.Workers_.begin(), Roster.Workers_.end()};
   State.InheritancePending_ = !State.UnconfirmedWorkers_.empty();
+  for (std::size_t I = 0;
+       I < Roster.Workers_.size() && I < Roster.Incarnations_.size(); ++I)
+    State.InheritedIncarnations_[Roster.Workers_[I]] = Roster.Incarnations_[I];
+  State.InheritedMisreadLeases_ = {Roster.MisreadLeases_.begin(),
+                                   Roster.MisreadLeases_.end()};
   State.RosterDirty_ = true;
   return State;
 }
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -68,9 +68,8 @@
 
 void extendLease(State &State, Worker &W, Milliseconds Length, TimePoint Now) {
   Length = std::min(Length, State.Options_.MaxLease_);
-  auto LongestOnClock =
-      Milliseconds(std::int64_t(double(Length.count()) * (1 + ClockDrift)));
-  W.LeaseEndsAt_ = std::max(W.LeaseEndsAt_, Now + LongestOnClock + LeaseMargin);
+  W.LeaseEndsAt_ =
+      std::max(W.LeaseEndsAt_, Now + longestOnClock(Length) + LeaseMargin);
 }
 
 namespace {
@@ -119,6 +118,8 @@
   if (Now >= State.Options_.InheritedLeasesEndAt_) {
     bool OthersAnswer = mostWorkersAnswer(State, Now);
     std::erase_if(State.UnconfirmedWorkers_, [&](const WorkerId &Id) {
+      if (Now < inheritedLeasesEnd(State, Id))
+        return false;
       auto It = State.Workers_.find(Id);
       return It == State.Workers_.end() ||
              isSilent(State, It->second, OthersAnswer, Now);
@@ -141,6 +142,11 @@
 
 } // namespace detail
 
+Milliseconds longestOnClock(Milliseconds Lease) {
+  return Milliseconds(
+      std::int64_t(double(Lease.count()) * (1 + detail::ClockDrift)));
+}
+
 void onWorker(State &State, const WorkerInfo &Info, TimePoint Now) {
   auto [It, New] = State.Workers_.try_emplace(Info.Id_);
   Worker &W = It->second;
@@ -149,6 +155,9 @@
   State.RosterDirty_ = State.RosterDirty_ || New;
   if (New || !W.InRegistry_ || W.Info_.Draining_ != Info.Draining_)
     State.PlacementNeeded_ = true;
+  if (W.RunsKnown_ && Info.StartedUnixMs_ > W.Incarnation_ &&
+      Info.StartedUnixMs_ != W.Info_.StartedUnixMs_)
+    detail::extendMisreadLease(State, W, Now);
   W.Info_ = Info;
   W.InRegistry_ = true;
   if (New || Replaced)
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -172,14 +172,34 @@
 }
 
 ledger::KeyedRecord makeRosterRecord(const State &State) {
-  std::set<WorkerId> All = State.UnconfirmedWorkers_;
-  for (const auto &[Id, W] : State.Workers_)
-    if (!W.Released_)
-      All.insert(Id);
-  return ledger::makeRoster(State.Options_.Slice_,
-                            {{All.begin(), All.end()},
-                             State.Options_.Token_,
-                             !State.InheritancePending_});
+  // Of a worker that has not answered, what the earlier owner knew stands.
+  std::map<WorkerId, std::int64_t> All;
+  std::set<WorkerId> Misread;
+  for (const auto &[Id, W] : State.Workers_) {
+    if (W.Released_)
+      continue;
+    All[Id] = rosterIncarnation(W);
+    if (State.LastTick_ < W.MisreadLeaseEndsAt_)
+      Misread.insert(Id);
+  }
+  for (const WorkerId &Id : State.UnconfirmedWorkers_) {
+    auto Named = State.InheritedIncarnations_.find(Id);
+    if (Named != State.InheritedIncarnations_.end())
+      All[Id] = Named->second;
+    else
+      All.try_emplace(Id, 0);
+    if (State.InheritedMisreadLeases_.count(Id))
+      Misread.insert(Id);
+  }
+  ledger::Roster Roster;
+  Roster.Claim_ = State.Options_.Token_;
+  Roster.Settled_ = !State.InheritancePending_;
+  for (const auto &[Id, Incarnation] : All) {
+    Roster.Workers_.push_back(Id);
+    Roster.Incarnations_.push_back(Incarnation);
+  }
+  Roster.MisreadLeases_ = {Misread.begin(), Misread.end()};
+  return ledger::makeRoster(State.Options_.Slice_, Roster);
 }
 
 } // namespace
@@ -199,7 +219,7 @@
     Call.Records_.push_back(makeRosterRecord(State));
     for (const auto &[Id, W] : State.Workers_)
       if (!W.Released_)
-        Pending.Roster_.push_back(Id);
+        Pending.Roster_[Id] = rosterIncarnation(W);
     Pending.HasRoster_ = true;
   }
   if (State.Round_.Records_.empty())
@@ -264,10 +284,11 @@
   }
   State.NextWriteAt_ = Now + detail::WriteInterval;
   detail::forgetRemoved(State, Pending);
-  for (const WorkerId &W : Pending.Roster_) {
+  for (const auto &[W, Incarnation] : Pending.Roster_) {
     auto It = State.Workers_.find(W);
     if (It == State.Workers_.end() || It->second.Rostered_ ||
-        It->second.Released_)
+        It->second.Released_ ||
+        detail::rosterIncarnation(It->second) != Incarnation)
       continue;
     It->second.Rostered_ = true;
     detail::scheduleRenewal(State, It->second, Now);
--- a/packages/scheduler/tests/unit-restarts.cpp
+++ b/packages/scheduler/tests/unit-restarts.cpp
@@ -234,3 +234,101 @@
   const scheduler::Worker &W = C.owner().State_.Workers_.at("a");
   cr_assert(scheduler::detail::mayAcknowledge(W));
 }
+
+namespace {
+
+/// A task of 12 s begins on the restarted worker "a", whose owner does not know
+/// of the restart; another worker is free.
+struct MisreadLeaseCell : IdleCell {
+  explicit MisreadLeaseCell(Milliseconds RegistryDelay) {
+    setRunTime(Milliseconds(12'000));
+    restartWorker("a", RegistryDelay);
+    submit("j1", plainJob({plainStep(1)}));
+    cr_assert(runUntil([&] { return Starts_.size() == 1; }));
+    addWorker("b");
+  }
+
+  void cut() {
+    worker("a").Cut_ = true;
+    at(Milliseconds(4'500), [this] {
+      for (auto &O : Owners_)
+        scheduler::onWorkerGone(O->State_, "a", Now_);
+    });
+  }
+  /// Runs for \p Time and then \p Event.
+  void at(Milliseconds Time, const std::function<void()> &Event) {
+    run(Time);
+    Event();
+  }
+  void assertRulesKept() {
+    run(Milliseconds(20'000));
+    cr_assert(Broken_.empty(), "%s", Broken_.front().c_str());
+    cr_assert(runUntil([&] { return state("j1") == JobState::Completed; }));
+  }
+};
+
+} // namespace
+
+// Guards against TWICE (issue 48): the worker took a start by its former clock
+// for the longest lease that it grants, its owner died before it had learnt of
+// the restart, and the next owner waited for ordinary leases only.
+Test(restarts, a_later_owner_waits_for_a_lease_by_the_former_clock) {
+  MisreadLeaseCell C(Milliseconds(50));
+  C.killOwner();
+  C.run(Milliseconds(700));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.cut();
+  C.assertRulesKept();
+}
+
+// The same if the former owner had learnt of the restart.
+Test(restarts, a_later_owner_is_told_of_a_lease_by_the_former_clock) {
+  MisreadLeaseCell C(Milliseconds(50));
+  C.run(Milliseconds(400));
+  C.killOwner();
+  C.run(Milliseconds(100));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.cut();
+  C.assertRulesKept();
+}
+
+// The same if the owner in between has not reached the worker.
+Test(restarts, owners_pass_on_a_lease_by_the_former_clock) {
+  MisreadLeaseCell C(Milliseconds(50));
+  C.killOwner();
+  C.worker("a").Cut_ = true;
+  C.run(Milliseconds(300));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.run(Milliseconds(300));
+  C.killOwner();
+  C.run(Milliseconds(300));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.assertRulesKept();
+}
+
+// Guards against TWICE: only the registry shows the restart, as the worker is
+// cut off before its next list.
+Test(restarts, a_restart_in_the_registry_prolongs_the_lease) {
+  MisreadLeaseCell C(Milliseconds(100));
+  C.worker("a").Cut_ = true;
+  C.run(Milliseconds(3'500));
+  scheduler::onWorkerGone(C.owner().State_, "a", C.Now_);
+  C.assertRulesKept();
+}
+
+// Guards against LOST: a worker that has not restarted holds up nobody longer
+// than ordinary leases last.
+Test(restarts, a_later_owner_does_not_wait_for_workers_that_did_not_restart) {
+  IdleCell C;
+  C.addWorker("b");
+  C.setRunTime(Milliseconds(12'000));
+  C.run(Milliseconds(100));
+  C.submit("j1", plainJob({plainStep(10)}));
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 10; }));
+  C.killOwner();
+  C.crash("a", Milliseconds(300));
+  C.run(Milliseconds(100));
+  C.takeOver(ownership::Predecessor::Ended);
+  cr_assert(C.runUntil([&] { return C.Starts_.size() > 10; },
+                       LongestLease + Milliseconds(500)));
+}
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -144,6 +144,9 @@
   Opt.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
       Claim, O->StoreReplica_.Rosters_["s"],
       Opt.OutageLease_ + Milliseconds(400), SelfFence);
+  Opt.MisreadLeasesEndAt_ = ownership::inheritedLeasesEnd(
+      Claim, O->StoreReplica_.Rosters_["s"],
+      scheduler::longestOnClock(Opt.MaxLease_) + Milliseconds(400), SelfFence);
   O->State_ =
       scheduler::makeState(Opt, Catalog_, O->StoreReplica_.Rosters_["s"]);
   for (const auto &[Id, W] : Workers_)
--- a/tests/formats/unit-records.cpp
+++ b/tests/formats/unit-records.cpp
@@ -47,7 +47,8 @@
       sample("occurrence",
              makeOccurrence("j1", {7, {{{true, false}, {{1, {2, 5}}}}}})),
       sample("occurrence removal", makeOccurrenceRemoval("j1", 7)),
-      sample("roster", makeRoster("s", {{"w1", "w2"}, 9, true})),
+      sample("roster",
+             makeRoster("s", {{"w1", "w2"}, 9, true, {11, 12}, {"w2"}})),
       sample("fence", makeFence("s", 300)),
       sample("closed queue", makeClosedQueue("q", 300)),
   };
@@ -63,7 +64,8 @@
       {sample("claim", makeClaim("s", {"e1.a1", 3, 0, "10.0.0.1:7380", 41})),
        sample("given up",
               makeClaim("s", {"e1.a1", 3, 42, "10.0.0.1:7380", 41})),
-       sample("node", makeNode("e1", {"e1.a1", "10.0.0.1:7380", 41, 240})),
+       sample("node",
+              makeNode("e1", {"e1.a1", "10.0.0.1:7380", 41, 240})),
        sample("service name", makeServiceName("s"))});
 }
 
