Ownership: inherited leases are counted from the last possible order

Cause: the wait was counted from the new claim, plus the time in which a cut-off owner may act (4 s), in two cases where more is known: the owners before the last had to stop with the claim of the last one, which lies back already; and the process of the last one may turn out to have ended only after the claim.

Change: an owner before the last is taken to have acted until 4 s after the last one's claim was read here, not until 4 s after the new claim. A heartbeat tells how long its process runs: a later process of the same VM shows when the former one had ended at the latest, also after the claim.

Tests: unit_ownership claims/owners_before_the_last_stop_..., .../the_end_of_the_ last_owner_may_become_known_after_the_claim. Golden bytes: the heartbeat has one field more.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -51,6 +51,7 @@
     Claims_.Options_.Address_ =
         Boot_.Host_ + ":" + std::to_string(Boot_.FirstPeerPort_);
     Claims_.Options_.Cpu_ = Boot_.Cpu_;
+    Claims_.Options_.StartedAt_ = now();
     Intake_.Store_ = &Store_;
     Intake_.TopicPartitions_ = Boot_.StorePartitions_;
     Intake_.StoreLimits_ = Boot_.StoreLimits_;
--- a/apps/pollenvale/fleet/owned_slices.cpp
+++ b/apps/pollenvale/fleet/owned_slices.cpp
@@ -17,6 +17,7 @@
                      Claim->second.Number_ != Owned.Claim_;
     bool Retired = Owned.Owner_->isRetired();
     if (!ClaimLost && !Retired && !Owned.Owner_->hasEnded()) {
+      Owned.Owner_->onClaim(Claim->second);
       ++It;
       continue;
     }
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -82,6 +82,23 @@
          (It != Void.end() && It->second.Queue_.Service_ == Slice_);
 }
 
+TimePoint SliceOwner::inheritedLeasesEnd(Milliseconds Longest) const {
+  return ownership::inheritedLeasesEnd(Claim_, InheritedRoster_,
+                                       Longest + LeaseMargin, SelfFence_);
+}
+
+void SliceOwner::onClaim(const ownership::OwnedSlice &Claim) {
+  if (Claim.PredecessorEndedBy_ == Claim_.PredecessorEndedBy_)
+    return;
+  Claim_ = Claim;
+  if (Stage_ != Stage::Running || !State_.InheritancePending_)
+    return;
+  const scheduler::Options &O = State_.Options_;
+  scheduler::onInheritedLeasesEnd(
+      State_, inheritedLeasesEnd(std::max(O.Lease_, O.OutageLease_)),
+      inheritedLeasesEnd(scheduler::longestOnClock(O.MaxLease_)));
+}
+
 void SliceOwner::startScheduling() {
   const ledger::Replica &Copy = Context_.Partition_->Replica_;
   scheduler::Options Options;
@@ -93,15 +110,14 @@
   Options.KeepClosed_ = Context_.ClosedJobRetention_;
   Options.StoreLimits_ = Context_.StoreLimits_;
   auto Stored = Copy.Rosters_.find(Slice_);
-  ledger::Roster Roster =
-      Stored == Copy.Rosters_.end() ? ledger::Roster{} : Stored->second;
-  Options.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
-      Claim_, Roster,
-      std::max(Options.Lease_, Options.OutageLease_) + LeaseMargin, SelfFence_);
-  Options.MisreadLeasesEndAt_ = ownership::inheritedLeasesEnd(
-      Claim_, Roster,
-      scheduler::longestOnClock(Options.MaxLease_) + LeaseMargin, SelfFence_);
-  State_ = scheduler::makeState(std::move(Options), *Context_.Catalog_, Roster);
+  if (Stored != Copy.Rosters_.end())
+    InheritedRoster_ = Stored->second;
+  Options.InheritedLeasesEndAt_ =
+      inheritedLeasesEnd(std::max(Options.Lease_, Options.OutageLease_));
+  Options.MisreadLeasesEndAt_ =
+      inheritedLeasesEnd(scheduler::longestOnClock(Options.MaxLease_));
+  State_ = scheduler::makeState(std::move(Options), *Context_.Catalog_,
+                                InheritedRoster_);
   Configured_ = workflow::hasService(*Context_.Catalog_, Slice_);
   WorkersNeededAt_ = now();
   addWorkersOfRegistry();
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -49,6 +49,8 @@
   void onWorker(const scheduler::WorkerInfo &Info);
   void onWorkerGone(const WorkerId &Id);
   void onCatalog();
+  /// The claim of this owner, with what is known of its predecessor by now.
+  void onClaim(const ownership::OwnedSlice &Claim);
   void onAdvice(const scheduler::AdviceCall &Call,
                 const scheduler::AdviceReply &Reply);
   /// Ends this owner: it sends no further orders and ignores pending answers.
@@ -83,6 +85,9 @@
   void sendFence();
   /// Builds the scheduler's state from the stored jobs and starts scheduling.
   void startScheduling();
+  /// When the last lease of an earlier owner has ended. \p Longest: the longest
+  /// that it may have given.
+  TimePoint inheritedLeasesEnd(Milliseconds Longest) const;
   /// Keeps the workers of the service while it is configured or has open jobs.
   void updateWorkers();
   /// Removes the last records of the slice from the store.
@@ -113,6 +118,7 @@
   SliceContext Context_;
   ownership::SliceName Slice_;
   ownership::OwnedSlice Claim_;
+  ledger::Roster InheritedRoster_; ///< As read when scheduling began.
   Milliseconds SelfFence_;
   observe::LineLimit LogLimit_;
   Stage Stage_ = Stage::Fencing;
--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -32,6 +32,7 @@
   /// Entries with at least this CPU, in thousandths of a core, are large. Small
   /// ones delay their claims so that large ones get the slices.
   std::int64_t LargeEntryCpu_ = 250;
+  TimePoint StartedAt_{}; ///< Start of this process; zero if unknown.
   /// Delay of a claim by an entry with almost no CPU. It shrinks linearly to 0
   /// at LargeEntryCpu_.
   Milliseconds SmallEntryDelay_{1'200};
@@ -62,8 +63,16 @@
   std::string Address_;
   NodeId Node_;
   Offset StartOffset_ = 0;
-  std::int64_t Cpu_ = 0; ///< Thousandths of a core; 0 if unknown.
-  TimePoint SeenAt_{};   ///< When the heartbeat was read.
+  std::int64_t Cpu_ = 0;  ///< Thousandths of a core; 0 if unknown.
+  TimePoint SeenAt_{};    ///< When the heartbeat was read.
+  TimePoint StartedBy_{}; ///< The process started at this time or earlier.
+};
+
+/// The process that holds, or held, a slice.
+struct Holder {
+  NodeId Node_;
+  std::string Address_;
+  Offset StartOffset_ = 0;
 };
 
 /// What a new owner knows about the previous owner of its slice.
@@ -83,6 +92,13 @@
   /// When the store's answer to the claim arrived. A predecessor that reads the
   /// claims after this time finds this claim and stops.
   TimePoint ClaimedAt_{};
+  Holder PredecessorHolder_{}; ///< Empty if the slice was never claimed.
+  /// When this entry read the predecessor's claim; zero if unknown. The owners
+  /// before it have stopped as it does itself for ClaimedAt_.
+  TimePoint PredecessorSeenAt_{};
+  /// The predecessor's process had ended by this time, as its VM runs a later
+  /// one; empty if unknown.
+  std::optional<TimePoint> PredecessorEndedBy_ = {};
 };
 
 /// The name of a service that this entry stores. It is settled once it has been
@@ -145,6 +161,8 @@
   std::uint32_t Generation_ = 0;
   Predecessor Predecessor_ = Predecessor::None;
   ClaimNumber PredecessorClaim_ = 0;
+  Holder PredecessorHolder_{};
+  TimePoint PredecessorSeenAt_{};
   bool Repeated_ = false; ///< Of a release only: it was sent before.
 };
 
@@ -172,7 +190,8 @@
 /// end of the claims partition as far as it was read; empty while unknown.
 std::vector<Write> tick(State &Claims, const std::set<SliceName> &Wanted,
                         std::optional<Offset> End, TimePoint Now);
-/// Time after which no lease of an earlier owner can be valid. \p Roster: the
+/// Time after which no lease of an earlier owner can be valid. It may become
+/// earlier when more is known of the predecessor. \p Roster: the
 /// one that the slice's new owner has read. \p Lease: longest validity, on a
 /// worker's clock, of any lease that an owner gives, plus its margin.
 TimePoint inheritedLeasesEnd(const OwnedSlice &Own,
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -33,7 +33,9 @@
   /// for each later process of a VM.
   Offset StartOffset_ = 0;
   std::int64_t Cpu_ = 0; ///< Thousandths of a core; 0 if unknown.
-  MSGPACK_DEFINE(Node_, Address_, StartOffset_, Cpu_)
+  /// Time since the process started, by its steady clock; 0 if unknown.
+  std::int64_t UptimeMs_ = 0;
+  MSGPACK_DEFINE(Node_, Address_, StartOffset_, Cpu_, UptimeMs_)
 };
 
 enum class RecordKind { Claim, Node, Service, Unknown };
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -53,12 +53,44 @@
     Claims.OwnSlices_.erase(Own);
 }
 
+Holder holderOf(const SliceView &View) {
+  return {View.Holder_, View.Address_, View.StartOffset_};
+}
+
+/// A process that shows that \p Earlier has ended, as its VM runs a later one;
+/// null if there is none. A VM of the same name at another address proves
+/// nothing: it may be a replacement that runs beside the old one. Nor does a
+/// heartbeat of another process without a larger start offset: that of an
+/// earlier process may be stored late.
+const NodeView *findLaterProcess(const State &Claims, const Holder &Earlier) {
+  auto It = Claims.Nodes_.find(nodeName(Earlier.Node_));
+  bool Ended = It != Claims.Nodes_.end() && It->second.Node_ != Earlier.Node_ &&
+               It->second.StartOffset_ > Earlier.StartOffset_ &&
+               It->second.Address_ == Earlier.Address_;
+  return Ended ? &It->second : nullptr;
+}
+
+void updatePredecessorEnd(const State &Claims, OwnedSlice &Own) {
+  const NodeView *Later = findLaterProcess(Claims, Own.PredecessorHolder_);
+  if (!Later)
+    return;
+  TimePoint Before = Own.PredecessorEndedBy_.value_or(TimePoint::max());
+  Own.PredecessorEndedBy_ = std::min(Before, Later->StartedBy_);
+}
+
 void onHeartbeat(State &Claims, const std::string &Name, const NodeRecord &R,
                  TimePoint Now) {
   NodeView &View = Claims.Nodes_[Name];
   // The store may execute a heartbeat of an earlier process late.
-  if (R.StartOffset_ >= View.StartOffset_)
-    View = NodeView{R.Address_, R.Node_, R.StartOffset_, R.Cpu_, Now};
+  if (R.StartOffset_ < View.StartOffset_)
+    return;
+  TimePoint StartedBy = Now - Milliseconds(R.UptimeMs_);
+  if (R.Node_ == View.Node_)
+    StartedBy = std::min(StartedBy, View.StartedBy_);
+  View = NodeView{R.Address_, R.Node_, R.StartOffset_, R.Cpu_, Now, StartedBy};
+  for (auto &[Slice, Own] : Claims.OwnSlices_)
+    if (nodeName(Own.PredecessorHolder_.Node_) == Name)
+      updatePredecessorEnd(Claims, Own);
 }
 
 /// Time since the last sign of life of the holder of \p View. Time without
@@ -74,15 +106,8 @@
 Predecessor findPredecessor(const State &Claims, const SliceView &View) {
   if (View.Number_ == 0 || View.Released_)
     return Predecessor::None;
-  // The holder's process has ended if its VM runs a later one. A VM of the same
-  // name at another address proves nothing: it may be a replacement that runs
-  // beside the old one. Nor does a heartbeat of another process without a
-  // larger start offset: that of an earlier process may be stored late.
-  auto It = Claims.Nodes_.find(nodeName(View.Holder_));
-  bool Ended = It != Claims.Nodes_.end() && It->second.Node_ != View.Holder_ &&
-               It->second.StartOffset_ > View.StartOffset_ &&
-               It->second.Address_ == View.Address_;
-  return Ended ? Predecessor::Ended : Predecessor::MayRun;
+  return findLaterProcess(Claims, holderOf(View)) ? Predecessor::Ended
+                                                  : Predecessor::MayRun;
 }
 
 /// Whether this entry may claim the slice.
@@ -137,7 +162,8 @@
     ClaimRecord R{Claims.Options_.Self_, View.Generation_ + 1, 0,
                   Claims.Options_.Address_, Claims.StartOffset_};
     Out.push_back({Write::Kind::Claim, Slice, makeClaim(Slice, R), End,
-                   R.Generation_, findPredecessor(Claims, View), View.Number_});
+                   R.Generation_, findPredecessor(Claims, View), View.Number_,
+                   holderOf(View), View.SeenAt_});
     Claims.ClaimsInFlight_.insert(Slice);
   }
 }
@@ -369,10 +395,21 @@
                    W.Generation_,
                    false,
                    Now};
-  Claims.OwnSlices_[W.Slice_] = OwnedSlice{
-      View.Number_, W.Generation_, W.Predecessor_, W.PredecessorClaim_, Now};
+  OwnedSlice &Own = Claims.OwnSlices_[W.Slice_];
+  Own = OwnedSlice{View.Number_,        W.Generation_, W.Predecessor_,
+                   W.PredecessorClaim_, Now,           W.PredecessorHolder_,
+                   W.PredecessorSeenAt_};
+  updatePredecessorEnd(Claims, Own);
+}
+
+namespace {
+
+std::int64_t uptimeMs(const Options &O, TimePoint Now) {
+  return O.StartedAt_ == TimePoint{} ? 0 : elapsed(O.StartedAt_, Now).count();
 }
 
+} // namespace
+
 std::vector<Write> tick(State &Claims, const std::set<SliceName> &Wanted,
                         std::optional<Offset> End, TimePoint Now) {
   std::vector<Write> Out;
@@ -396,7 +433,8 @@
       Claims.StartOffset_ != 0 && (Claims.HeartbeatSentAt_ == TimePoint{} ||
                                    Now - Claims.HeartbeatSentAt_ >= Interval);
   if (Due && !Claims.HeartbeatInFlight_) {
-    NodeRecord R{O.Self_, O.Address_, Claims.StartOffset_, O.Cpu_};
+    NodeRecord R{O.Self_, O.Address_, Claims.StartOffset_, O.Cpu_,
+                 uptimeMs(O, Now)};
     Out.push_back(
         {Write::Kind::Heartbeat, {}, makeNode(nodeName(O.Self_), R), {}});
     Claims.HeartbeatInFlight_ = true;
@@ -408,12 +446,21 @@
 TimePoint inheritedLeasesEnd(const OwnedSlice &Own,
                              const ledger::Roster &Roster, Milliseconds Lease,
                              Milliseconds SelfFence) {
+  TimePoint LastOrder = Own.ClaimedAt_;
+  if (Own.Predecessor_ == Predecessor::MayRun)
+    LastOrder += SelfFence;
+  if (Own.PredecessorEndedBy_)
+    LastOrder = std::min(LastOrder, *Own.PredecessorEndedBy_);
   // The predecessor's roster shows that leases of the owners before it have
   // ended only if it knew where every task of those owners was.
   bool Settled = Roster.Settled_ && Roster.Claim_ == Own.PredecessorClaim_;
-  bool EarlierOwnersEnded = Own.Predecessor_ != Predecessor::MayRun && Settled;
-  return Own.ClaimedAt_ + Lease +
-         (EarlierOwnersEnded ? Milliseconds(0) : SelfFence);
+  if (!Settled) {
+    bool Seen = Own.PredecessorSeenAt_ != TimePoint{};
+    TimePoint Claimed = Seen ? std::min(Own.PredecessorSeenAt_, Own.ClaimedAt_)
+                             : Own.ClaimedAt_;
+    LastOrder = std::max(LastOrder, Claimed + SelfFence);
+  }
+  return LastOrder + Lease;
 }
 
 std::vector<std::string> peerAddresses(const State &Claims) {
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -184,6 +184,51 @@
             Claimed + Lease + SelfFence);
 }
 
+// Guards against LOST: all inherited tasks waited for the time in which an
+// owner before the last one might have sent orders, counted from the last
+// claim.
+Test(claims, owners_before_the_last_stop_with_the_claim_of_the_last) {
+  constexpr Milliseconds Lease{5'400}, SelfFence{4'000};
+  TimePoint Claimed{std::chrono::seconds(50)};
+  OwnedSlice Own{9, 3, Predecessor::Ended, 7, Claimed};
+  ledger::Roster Unsettled{{"w"}, 7, false};
+  Own.PredecessorSeenAt_ = Claimed - Milliseconds(3'000);
+  cr_assert(inheritedLeasesEnd(Own, Unsettled, Lease, SelfFence) ==
+            Claimed - Milliseconds(3'000) + SelfFence + Lease);
+  // The last owner itself may have given leases until it ended.
+  Own.PredecessorSeenAt_ = Claimed - Milliseconds(30'000);
+  cr_assert(inheritedLeasesEnd(Own, Unsettled, Lease, SelfFence) ==
+            Claimed + Lease);
+}
+
+// Guards against LOST: the process of the last owner is shown to have ended
+// only after its slice was claimed.
+Test(claims, the_end_of_the_last_owner_may_become_known_after_the_claim) {
+  constexpr Milliseconds Lease{5'400}, SelfFence{4'000};
+  ClaimsCell C(2);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  const State &Former = C.Entries_[First];
+  C.Silent_.insert(First);
+  C.run(Milliseconds(3'500));
+  std::size_t Second = C.owners().at(0);
+  OwnedSlice &Own = C.Entries_[Second].OwnSlices_.at("s");
+  cr_assert(Own.Predecessor_ == Predecessor::MayRun);
+  cr_assert_not(Own.PredecessorEndedBy_);
+  NodeRecord Later{nodeName(Former.Options_.Self_) + ".2",
+                   Former.Options_.Address_, C.Log_.size() + 1, 0, 4'000};
+  ledger::KeyedRecord R = makeNode(nodeName(Later.Node_), Later);
+  R.Offset_ = C.Log_.size();
+  C.Log_.push_back(R);
+  C.deliver(R);
+  cr_assert(Own.PredecessorEndedBy_);
+  TimePoint EndedBy = *Own.PredecessorEndedBy_;
+  cr_assert_lt(EndedBy, Own.ClaimedAt_, "it ran for 4 s by then");
+  ledger::Roster Settled{{"w"}, Own.PredecessorClaim_, true};
+  cr_assert(inheritedLeasesEnd(Own, Settled, Lease, SelfFence) ==
+            EndedBy + Lease);
+}
+
 Test(claims, a_late_heartbeat_of_an_earlier_process_proves_no_end) {
   ClaimsCell C(1);
   C.run(Milliseconds(1'000));
--- a/packages/scheduler/detail/api.hpp
+++ b/packages/scheduler/detail/api.hpp
@@ -15,6 +15,9 @@
 State makeState(Options O, const workflow::Catalog &C,
                 const ledger::Roster &Roster);
 
+/// More is known of earlier owners: their leases end at these times or earlier.
+/// See Options::InheritedLeasesEndAt_ and Options::MisreadLeasesEndAt_.
+void onInheritedLeasesEnd(State &State, TimePoint Ordinary, TimePoint Misread);
 /// The catalog of queues has changed.
 void onCatalog(State &State, const workflow::Catalog &C);
 /// The store holds a job of the slice. Does nothing if the job is known
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -142,6 +142,12 @@
 
 } // namespace detail
 
+void onInheritedLeasesEnd(State &State, TimePoint Ordinary, TimePoint Misread) {
+  Options &O = State.Options_;
+  O.InheritedLeasesEndAt_ = std::min(O.InheritedLeasesEndAt_, Ordinary);
+  O.MisreadLeasesEndAt_ = std::min(O.MisreadLeasesEndAt_, Misread);
+}
+
 Milliseconds longestOnClock(Milliseconds Lease) {
   return Milliseconds(
       std::int64_t(double(Lease.count()) * (1 + detail::ClockDrift)));
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -141,6 +141,8 @@
   Opt.ClaimedAt_ = Now_;
   ownership::OwnedSlice Claim{O->Token_, Opt.Generation_, Before, Previous,
                               Now_};
+  if (!Owners_.empty())
+    Claim.PredecessorSeenAt_ = owner().State_.Options_.ClaimedAt_;
   Opt.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
       Claim, O->StoreReplica_.Rosters_["s"],
       Opt.OutageLease_ + Milliseconds(400), SelfFence);
