Ownership: a former owner that is back says that it has stopped

Cause: nothing told that it had read the claim and stopped.

Change: a heartbeat tells how far its process has read the claims. One that has read the claim of a new owner has stopped; an owner that loses a slice sends a heartbeat at once. The new owner counts leases from there if that is earlier. The harness of the scheduler's tests tells owners the same.

--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -66,6 +66,7 @@
   std::int64_t Cpu_ = 0;  ///< Thousandths of a core; 0 if unknown.
   TimePoint SeenAt_{};    ///< When the heartbeat was read.
   TimePoint StartedBy_{}; ///< The process started at this time or earlier.
+  Offset ReadUpTo_ = 0;   ///< As NodeRecord::ReadUpTo_.
 };
 
 /// The process that holds, or held, a slice.
@@ -96,8 +97,8 @@
   /// When this entry read the predecessor's claim; zero if unknown. The owners
   /// before it have stopped as it does itself for ClaimedAt_.
   TimePoint PredecessorSeenAt_{};
-  /// The predecessor's process had ended by this time, as its VM runs a later
-  /// one; empty if unknown.
+  /// The predecessor had stopped by this time: its VM runs a later process, or
+  /// it has read this claim. Empty if unknown.
   std::optional<TimePoint> PredecessorEndedBy_ = {};
 };
 
--- a/packages/ownership/detail/records.hpp
+++ b/packages/ownership/detail/records.hpp
@@ -35,7 +35,10 @@
   std::int64_t Cpu_ = 0; ///< Thousandths of a core; 0 if unknown.
   /// Time since the process started, by its steady clock; 0 if unknown.
   std::int64_t UptimeMs_ = 0;
-  MSGPACK_DEFINE(Node_, Address_, StartOffset_, Cpu_, UptimeMs_)
+  /// Offset up to which it has read the claims: it has stopped sending orders
+  /// for slices that others claimed before that. 0 if unknown.
+  Offset ReadUpTo_ = 0;
+  MSGPACK_DEFINE(Node_, Address_, StartOffset_, Cpu_, UptimeMs_, ReadUpTo_)
 };
 
 enum class RecordKind { Claim, Node, Service, Unknown };
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -39,8 +39,11 @@
   View = SliceView{Number,        R.Holder_, R.Address_, R.StartOffset_,
                    R.Generation_, false,     Now};
   auto Own = Claims.OwnSlices_.find(Slice);
-  if (Own != Claims.OwnSlices_.end() && Own->second.Number_ < Number)
-    Claims.OwnSlices_.erase(Own);
+  if (Own == Claims.OwnSlices_.end() || Own->second.Number_ >= Number)
+    return;
+  Claims.OwnSlices_.erase(Own);
+  // The new owner waits to learn that this one has stopped.
+  Claims.HeartbeatSentAt_ = {};
 }
 
 /// Handles the removal of the slice's claim at \p Offset.
@@ -70,12 +73,24 @@
   return Ended ? &It->second : nullptr;
 }
 
+/// When the predecessor had stopped at the latest, as its VM's newest heartbeat
+/// tells.
+std::optional<TimePoint> predecessorEnd(const State &Claims,
+                                        const OwnedSlice &Own) {
+  const Holder &Former = Own.PredecessorHolder_;
+  if (const NodeView *Later = findLaterProcess(Claims, Former))
+    return Later->StartedBy_;
+  auto It = Claims.Nodes_.find(nodeName(Former.Node_));
+  if (It != Claims.Nodes_.end() && It->second.Node_ == Former.Node_ &&
+      It->second.ReadUpTo_ >= Own.Number_)
+    return It->second.SeenAt_;
+  return std::nullopt;
+}
+
 void updatePredecessorEnd(const State &Claims, OwnedSlice &Own) {
-  const NodeView *Later = findLaterProcess(Claims, Own.PredecessorHolder_);
-  if (!Later)
-    return;
   TimePoint Before = Own.PredecessorEndedBy_.value_or(TimePoint::max());
-  Own.PredecessorEndedBy_ = std::min(Before, Later->StartedBy_);
+  if (auto End = predecessorEnd(Claims, Own))
+    Own.PredecessorEndedBy_ = std::min(Before, *End);
 }
 
 void onHeartbeat(State &Claims, const std::string &Name, const NodeRecord &R,
@@ -87,7 +102,8 @@
   TimePoint StartedBy = Now - Milliseconds(R.UptimeMs_);
   if (R.Node_ == View.Node_)
     StartedBy = std::min(StartedBy, View.StartedBy_);
-  View = NodeView{R.Address_, R.Node_, R.StartOffset_, R.Cpu_, Now, StartedBy};
+  View = NodeView{R.Address_, R.Node_,   R.StartOffset_, R.Cpu_,
+                  Now,        StartedBy, R.ReadUpTo_};
   for (auto &[Slice, Own] : Claims.OwnSlices_)
     if (nodeName(Own.PredecessorHolder_.Node_) == Name)
       updatePredecessorEnd(Claims, Own);
@@ -433,8 +449,8 @@
       Claims.StartOffset_ != 0 && (Claims.HeartbeatSentAt_ == TimePoint{} ||
                                    Now - Claims.HeartbeatSentAt_ >= Interval);
   if (Due && !Claims.HeartbeatInFlight_) {
-    NodeRecord R{O.Self_, O.Address_, Claims.StartOffset_, O.Cpu_,
-                 uptimeMs(O, Now)};
+    NodeRecord R{O.Self_, O.Address_,       Claims.StartOffset_,
+                 O.Cpu_,  uptimeMs(O, Now), End.value_or(0)};
     Out.push_back(
         {Write::Kind::Heartbeat, {}, makeNode(nodeName(O.Self_), R), {}});
     Claims.HeartbeatInFlight_ = true;
--- a/packages/ownership/tests/unit-claims.cpp
+++ b/packages/ownership/tests/unit-claims.cpp
@@ -229,6 +229,49 @@
             EndedBy + Lease);
 }
 
+// Guards against LOST: the last owner was cut off from the store, or stood
+// still, and is back. It says at once that it has stopped.
+Test(claims, a_former_owner_that_is_back_shows_that_it_has_stopped) {
+  ClaimsCell C(2);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  C.Silent_.insert(First);
+  C.run(Milliseconds(3'500));
+  OwnedSlice &Own = C.Entries_[1 - First].OwnSlices_.at("s");
+  cr_assert(Own.Predecessor_ == Predecessor::MayRun);
+  cr_assert_not(Own.PredecessorEndedBy_);
+  C.Silent_.erase(First);
+  for (const ledger::KeyedRecord &R : C.Log_)
+    onRecord(C.Entries_[First], R, C.Now_);
+  C.run(Milliseconds(500));
+  cr_assert_not(C.Entries_[First].OwnSlices_.count("s"));
+  cr_assert(Own.PredecessorEndedBy_);
+  cr_assert_gt(*Own.PredecessorEndedBy_, Own.ClaimedAt_);
+}
+
+// Guards against TWICE: a heartbeat that was written before its process had
+// read the claim shows nothing.
+Test(claims, a_heartbeat_from_before_the_claim_was_read_proves_no_end) {
+  ClaimsCell C(2);
+  C.run(Milliseconds(1'000));
+  std::size_t First = C.owners()[0];
+  const State &Former = C.Entries_[First];
+  C.Silent_.insert(First);
+  C.run(Milliseconds(3'500));
+  OwnedSlice &Own = C.Entries_[1 - First].OwnSlices_.at("s");
+  NodeRecord Late{Former.Options_.Self_,
+                  Former.Options_.Address_,
+                  Former.StartOffset_,
+                  0,
+                  3'000,
+                  Own.Number_ - 1};
+  ledger::KeyedRecord R = makeNode(nodeName(Late.Node_), Late);
+  R.Offset_ = C.Log_.size();
+  C.Log_.push_back(R);
+  C.deliver(R);
+  cr_assert_not(Own.PredecessorEndedBy_);
+}
+
 Test(claims, a_late_heartbeat_of_an_earlier_process_proves_no_end) {
   ClaimsCell C(1);
   C.run(Milliseconds(1'000));
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -124,6 +124,28 @@
     scheduler::onWorkerGone(O->State_, Id, Now_);
 }
 
+TimePoint FleetCell::inheritedLeasesEnd(const Owner &O, Milliseconds Longest) {
+  constexpr Milliseconds Margin{400};
+  return ownership::inheritedLeasesEnd(O.Claim_, O.InheritedRoster_,
+                                       Longest + Margin, SelfFence);
+}
+
+void FleetCell::tellOfPredecessor() {
+  if (Owners_.size() < 2 || StoreDown_)
+    return;
+  const Owner &Former = *Owners_[Owners_.size() - 2];
+  Owner &O = owner();
+  bool Stopped = Former.Alive_ && !Former.CutFromStore_ && !isDown(Former) &&
+                 Former.StoreContactAt_ > O.Claim_.ClaimedAt_;
+  if (!Stopped || O.CutFromStore_ || O.Claim_.PredecessorEndedBy_)
+    return;
+  O.Claim_.PredecessorEndedBy_ = Now_;
+  const scheduler::Options &Opt = O.State_.Options_;
+  scheduler::onInheritedLeasesEnd(
+      O.State_, inheritedLeasesEnd(O, Opt.OutageLease_),
+      inheritedLeasesEnd(O, scheduler::longestOnClock(Opt.MaxLease_)));
+}
+
 Owner &FleetCell::takeOver(ownership::Predecessor Before) {
   auto O = std::make_unique<Owner>();
   Token Previous = Epoch_;
@@ -139,18 +161,14 @@
   Opt.Token_ = O->Token_;
   Opt.Generation_ = std::uint32_t(Owners_.size() + 1);
   Opt.ClaimedAt_ = Now_;
-  ownership::OwnedSlice Claim{O->Token_, Opt.Generation_, Before, Previous,
-                              Now_};
+  O->Claim_ = {O->Token_, Opt.Generation_, Before, Previous, Now_};
+  O->InheritedRoster_ = O->StoreReplica_.Rosters_["s"];
   if (!Owners_.empty())
-    Claim.PredecessorSeenAt_ = owner().State_.Options_.ClaimedAt_;
-  Opt.InheritedLeasesEndAt_ = ownership::inheritedLeasesEnd(
-      Claim, O->StoreReplica_.Rosters_["s"],
-      Opt.OutageLease_ + Milliseconds(400), SelfFence);
-  Opt.MisreadLeasesEndAt_ = ownership::inheritedLeasesEnd(
-      Claim, O->StoreReplica_.Rosters_["s"],
-      scheduler::longestOnClock(Opt.MaxLease_) + Milliseconds(400), SelfFence);
-  O->State_ =
-      scheduler::makeState(Opt, Catalog_, O->StoreReplica_.Rosters_["s"]);
+    O->Claim_.PredecessorSeenAt_ = owner().State_.Options_.ClaimedAt_;
+  Opt.InheritedLeasesEndAt_ = inheritedLeasesEnd(*O, Opt.OutageLease_);
+  Opt.MisreadLeasesEndAt_ =
+      inheritedLeasesEnd(*O, scheduler::longestOnClock(Opt.MaxLease_));
+  O->State_ = scheduler::makeState(Opt, Catalog_, O->InheritedRoster_);
   for (const auto &[Id, W] : Workers_)
     if (W.Listed_)
       scheduler::onWorker(O->State_, W.Info_, Now_);
@@ -184,6 +202,7 @@
   Now_ = End;
   for (std::size_t I = 0; I < Owners_.size(); ++I)
     turn(*Owners_[I]);
+  tellOfPredecessor();
   checkWorkers();
 }
 
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -29,6 +29,8 @@
   TimePoint TurnDueAt_{};
   TimePoint StoreContactAt_{};
   std::optional<scheduler::WriteCall> RepeatedWrite_;
+  ownership::OwnedSlice Claim_;
+  ledger::Roster InheritedRoster_;
   /// Its calls to the policy; a copy of FleetCell::Policy_, if that is set.
   std::optional<advice::Pool> Policy_;
 };
@@ -171,6 +173,12 @@
   void answer(Owner &O, const scheduler::Target &To, TimePoint SentAt,
               bool Answered, std::function<void(bool ReadInTime)> OnAnswer);
   void readStore(Owner &O);
+  /// Lets the newest owner know when the one before it has stopped, as the
+  /// heartbeats of the claims topic do.
+  void tellOfPredecessor();
+  /// Latest expiry of leases of at most \p Longest that owners before \p O
+  /// gave.
+  static TimePoint inheritedLeasesEnd(const Owner &O, Milliseconds Longest);
   void applyStart(const scheduler::StartCall &C, scheduler::OrderReply *Reply);
   TimePoint contactOf(Token T) const;
   void checkStart(const scheduler::StartCall &C);
--- a/tests/formats/unit-records.cpp
+++ b/tests/formats/unit-records.cpp
@@ -65,7 +65,7 @@
        sample("given up",
               makeClaim("s", {"e1.a1", 3, 42, "10.0.0.1:7380", 41})),
        sample("node",
-              makeNode("e1", {"e1.a1", "10.0.0.1:7380", 41, 240, 5'000})),
+              makeNode("e1", {"e1.a1", "10.0.0.1:7380", 41, 240, 5'000, 77})),
        sample("service name", makeServiceName("s"))});
 }
 
