Claims, releases and predecessors in files of their own; names found again

Moved, nothing changed but for the readiness answer, which is written in two places, and who counts records of the copies.

--- a/apps/pollenvale/fleet/entry.cpp
+++ b/apps/pollenvale/fleet/entry.cpp
@@ -56,9 +56,8 @@
     Intake_.TopicPartitions_ = Boot_.StorePartitions_;
     Intake_.StoreLimits_ = Boot_.StoreLimits_;
     Intake_.Clock_ = now;
-    Intake_.EnsureKnown_ = [this](const ServiceName &Service) {
-      return ownership::ensureKnown(Claims_, Service);
-    };
+    Intake_.EnsureKnown_ =
+        std::bind_front(ownership::ensureKnown, std::ref(Claims_));
   }
 
   void run() {
@@ -156,18 +155,12 @@
     if (!Config_.Known_)
       return;
     Services_.update(Config_.Catalog_, Claims_, Intake_);
-    nameOpenServices();
+    // A copy may show an open job of a service whose claim has been removed.
+    for (const ServiceName &Service : Services_.notIn(Config_.Catalog_))
+      ownership::ensureKnown(Claims_, Service);
     Copies_.followOnly(Services_.partitions(Boot_.StorePartitions_));
   }
 
-  /// Names services that are served only since a copy shows an open job of
-  /// them: their claim was removed while another entry accepted it.
-  void nameOpenServices() {
-    for (const ServiceName &Service : Services_.names())
-      if (!workflow::hasService(Config_.Catalog_, Service))
-        ownership::ensureKnown(Claims_, Service);
-  }
-
   void onJobAccepted(std::uint32_t Partition, const JobId &Job) {
     const auto &Jobs = Intake_.Partitions_.at(Partition).Replica_.Jobs_;
     Services_.onJobAccepted(Jobs.at(Job).Accepted_.Queue_.Service_);
@@ -263,11 +256,10 @@
       return Respond(std::move(Reply));
     }
     Readiness State = readiness();
-    bool Ready = State == Readiness::Ready;
-    std::string Reason(toString(State));
-    Respond(
-        {Ready ? 200 : 503,
-         Ready ? "{}" : R"({"error":"not ready","reason":")" + Reason + "\"}"});
+    if (State == Readiness::Ready)
+      return Respond({200, "{}"});
+    Respond({503, R"({"error":"not ready","reason":")" +
+                      std::string(toString(State)) + "\"}"});
   }
 
   std::string metrics() const {
@@ -276,10 +268,7 @@
          {&Client_.Counters_, &Intake_.Counters_, &Store_.Counters_})
       All.insert(Source->begin(), Source->end());
     Slices_.addCounters(All);
-    for (const auto &[Number, Copy] : Intake_.Partitions_) {
-      All["record-unreadable"] += Copy.Replica_.UnreadableRecords_;
-      All["record-mismatch"] += Copy.Tail_.Mismatches_;
-    }
+    Copies_.addCounters(All);
     All["record-unreadable"] += Claims_.UnreadableRecords_;
     LoopWatch_.addCounters(All);
     return observe::expose(All) + LoopWatch_.expose();
--- a/apps/pollenvale/fleet/job_copies.cpp
+++ b/apps/pollenvale/fleet/job_copies.cpp
@@ -47,6 +47,13 @@
     It->second->deliver(std::move(Records));
 }
 
+void JobCopies::addCounters(Counters &Sum) const {
+  for (const auto &[Number, Copy] : Intake_.Partitions_) {
+    Sum["record-unreadable"] += Copy.Replica_.UnreadableRecords_;
+    Sum["record-mismatch"] += Copy.Tail_.Mismatches_;
+  }
+}
+
 void JobCopies::poll() {
   for (auto &[Number, F] : Followers_)
     F->poll();
--- a/apps/pollenvale/fleet/job_copies.hpp
+++ b/apps/pollenvale/fleet/job_copies.hpp
@@ -35,6 +35,8 @@
                std::vector<ledger::KeyedRecord> Records);
   /// Sends the calls to the store that are due.
   void poll();
+  /// Adds the counts of records that could not be read or did not match.
+  void addCounters(Counters &Sum) const;
 
 private:
   ledger::Store &Store_;
--- a/apps/pollenvale/fleet/served_services.cpp
+++ b/apps/pollenvale/fleet/served_services.cpp
@@ -34,6 +34,14 @@
   Names_ = std::move(Served);
 }
 
+std::set<ServiceName> ServedServices::notIn(const workflow::Catalog &C) const {
+  std::set<ServiceName> Out = Names_;
+  std::erase_if(Out, [&](const ServiceName &Name) {
+    return workflow::hasService(C, Name);
+  });
+  return Out;
+}
+
 std::set<std::uint32_t>
 ServedServices::partitions(std::uint32_t TopicPartitions) const {
   std::set<std::uint32_t> Out;
--- a/apps/pollenvale/fleet/served_services.hpp
+++ b/apps/pollenvale/fleet/served_services.hpp
@@ -22,6 +22,8 @@
   void onJobAccepted(const ServiceName &Service) { Names_.insert(Service); }
 
   const std::set<ServiceName> &names() const { return Names_; }
+  /// Those that the configuration does not name.
+  std::set<ServiceName> notIn(const workflow::Catalog &C) const;
   /// Partitions of the job topic that hold their jobs.
   std::set<std::uint32_t> partitions(std::uint32_t TopicPartitions) const;
 
--- /dev/null
+++ b/packages/ownership/detail/internal.hpp
@@ -0,0 +1,29 @@
+/// \file
+/// Functions shared by the source files of this package.
+#pragma once
+
+#include "ownership/detail/claims.hpp"
+
+namespace pollenvale::ownership::detail {
+
+/// Slices with a claim in the topic, held or released.
+std::set<SliceName> claimedSlices(const State &Claims);
+
+Holder holderOf(const SliceView &View);
+/// What a new owner of the slice would know about the present one.
+Predecessor findPredecessor(const State &Claims, const SliceView &View);
+/// Updates OwnedSlice::PredecessorEndedBy_ by the newest heartbeats.
+void updatePredecessorEnd(const State &Claims, OwnedSlice &Own);
+
+/// Gives up all slices. sendReleases() tells the other entries.
+void giveUpSlices(State &Claims);
+void sendReleases(State &Claims, Offset End, TimePoint Now,
+                  std::vector<Write> &Out);
+void onReleaseWritten(State &Claims, const Write &W, ledger::StoreStatus Status,
+                      TimePoint Now);
+/// Stores the names that ensureKnown() asked for.
+void sendNames(State &Claims, TimePoint Now, std::vector<Write> &Out);
+void onNameWritten(State &Claims, const Write &W,
+                   const ledger::AppendReply &Reply, TimePoint Now);
+
+} // namespace pollenvale::ownership::detail
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -1,3 +1,4 @@
+#include "ownership/detail/internal.hpp"
 #include "ownership/ownership.hpp"
 
 #include <algorithm>
@@ -5,23 +6,13 @@
 namespace pollenvale::ownership {
 
 using ledger::StoreStatus;
+using namespace detail;
 
 namespace {
 
 /// Contact to the store counts as interrupted when the time between two answers
 /// is longer than this.
 constexpr Milliseconds MaxContactGap{1'500};
-/// Pause after a release, or a name, that was refused or got no answer.
-constexpr Milliseconds ReleaseRetryInterval{200};
-
-std::set<SliceName> claimedSlices(const State &Claims) {
-  std::set<SliceName> Out;
-  for (const auto &[Slice, View] : Claims.Slices_)
-    if (View.Number_ > 0)
-      Out.insert(Slice);
-  return Out;
-}
-
 void onClaim(State &Claims, const SliceName &Slice, const ClaimRecord &R,
              Offset Offset, TimePoint Now) {
   SliceView &View = Claims.Slices_[Slice];
@@ -56,43 +47,6 @@
     Claims.OwnSlices_.erase(Own);
 }
 
-Holder holderOf(const SliceView &View) {
-  return {View.Holder_, View.Address_, View.StartOffset_};
-}
-
-/// A process that shows that \p Earlier has ended, as its VM runs a later one;
-/// null if there is none. A VM of the same name at another address proves
-/// nothing: it may be a replacement that runs beside the old one. Nor does a
-/// heartbeat of another process without a larger start offset: that of an
-/// earlier process may be stored late.
-const NodeView *findLaterProcess(const State &Claims, const Holder &Earlier) {
-  auto It = Claims.Nodes_.find(nodeName(Earlier.Node_));
-  bool Ended = It != Claims.Nodes_.end() && It->second.Node_ != Earlier.Node_ &&
-               It->second.StartOffset_ > Earlier.StartOffset_ &&
-               It->second.Address_ == Earlier.Address_;
-  return Ended ? &It->second : nullptr;
-}
-
-/// When the predecessor had stopped at the latest, as its VM's newest heartbeat
-/// tells.
-std::optional<TimePoint> predecessorEnd(const State &Claims,
-                                        const OwnedSlice &Own) {
-  const Holder &Former = Own.PredecessorHolder_;
-  if (const NodeView *Later = findLaterProcess(Claims, Former))
-    return Later->StartedBy_;
-  auto It = Claims.Nodes_.find(nodeName(Former.Node_));
-  if (It != Claims.Nodes_.end() && It->second.Node_ == Former.Node_ &&
-      It->second.ReadUpTo_ >= Own.Number_)
-    return It->second.SeenAt_;
-  return std::nullopt;
-}
-
-void updatePredecessorEnd(const State &Claims, OwnedSlice &Own) {
-  TimePoint Before = Own.PredecessorEndedBy_.value_or(TimePoint::max());
-  if (auto End = predecessorEnd(Claims, Own))
-    Own.PredecessorEndedBy_ = std::min(Before, *End);
-}
-
 void onHeartbeat(State &Claims, const std::string &Name, const NodeRecord &R,
                  TimePoint Now) {
   NodeView &View = Claims.Nodes_[Name];
@@ -119,13 +73,6 @@
   return elapsed(Heard, Claims.LastContactAt_);
 }
 
-Predecessor findPredecessor(const State &Claims, const SliceView &View) {
-  if (View.Number_ == 0 || View.Released_)
-    return Predecessor::None;
-  return findLaterProcess(Claims, holderOf(View)) ? Predecessor::Ended
-                                                  : Predecessor::MayRun;
-}
-
 /// Whether this entry may claim the slice.
 bool isFree(const State &Claims, const SliceView &View) {
   if (View.Number_ == 0 || View.Released_)
@@ -184,104 +131,6 @@
   }
 }
 
-/// Gives up all slices. sendReleases() tells the other entries.
-void giveUpSlices(State &Claims) {
-  for (const auto &[Slice, Own] : Claims.OwnSlices_)
-    Claims.Releases_[Slice] = {Own.Number_, Own.Generation_};
-  Claims.OwnSlices_.clear();
-}
-
-/// Forgets releases that are stored and those of superseded claims.
-void dropSettledReleases(State &Claims) {
-  std::erase_if(Claims.Releases_, [&](const auto &Release) {
-    auto View = Claims.Slices_.find(Release.first);
-    if (View == Claims.Slices_.end())
-      return true;
-    bool Released = View->second.Released_ && !Release.second.Removes_;
-    return Released || View->second.Number_ > Release.second.Number_;
-  });
-}
-
-/// Whether the name of the service is to be removed before its claim: without
-/// either, entries that start would not find jobs that were accepted meanwhile.
-bool hasNameToRemove(const State &Claims, const SliceName &Slice,
-                     const PendingRelease &Release) {
-  auto Name = Claims.ServiceNames_.find(Slice);
-  return Release.Removes_ && Release.Name_ &&
-         Name != Claims.ServiceNames_.end() && Name->second == *Release.Name_;
-}
-
-void sendReleases(State &Claims, Offset End, TimePoint Now,
-                  std::vector<Write> &Out) {
-  dropSettledReleases(Claims);
-  for (auto &[Slice, Release] : Claims.Releases_) {
-    if (Release.InFlight_ || Now < Release.RetryAt_ ||
-        Release.RejectedEnd_ == End)
-      continue;
-    ClaimRecord R{Claims.Options_.Self_, Release.Generation_, Release.Number_,
-                  Claims.Options_.Address_, Claims.StartOffset_};
-    Write W{Write::Kind::Release, Slice, makeClaim(Slice, R), End};
-    if (hasNameToRemove(Claims, Slice, Release))
-      W.Record_ = makeServiceNameRemoval(Slice);
-    else if (Release.Removes_)
-      W.Record_ = makeClaimRemoval(Slice);
-    W.Repeated_ = Release.Sends_++ > 0;
-    Release.InFlight_ = true;
-    Out.push_back(std::move(W));
-  }
-}
-
-void onReleaseWritten(State &Claims, const Write &W, StoreStatus Status,
-                      TimePoint Now) {
-  auto It = Claims.Releases_.find(W.Slice_);
-  if (It == Claims.Releases_.end())
-    return;
-  PendingRelease &Release = It->second;
-  Release.InFlight_ = false;
-  if (Status == StoreStatus::Moved) {
-    // A record that has not been read yet may be a later claim.
-    Release.RejectedEnd_ = W.ExpectedEnd_;
-    return;
-  }
-  if (Status != StoreStatus::Done) {
-    Release.RetryAt_ = Now + ReleaseRetryInterval;
-    return;
-  }
-  if (kindOf(W.Record_.Key_) == RecordKind::Service) {
-    // The claim is removed next.
-    if (hasNameToRemove(Claims, W.Slice_, Release))
-      Claims.ServiceNames_.erase(W.Slice_);
-    return;
-  }
-  auto View = Claims.Slices_.find(W.Slice_);
-  bool Newest =
-      View != Claims.Slices_.end() && View->second.Number_ == Release.Number_;
-  if (Newest && Release.Removes_)
-    Claims.Slices_.erase(View);
-  else if (Newest)
-    View->second.Released_ = true;
-  Claims.Releases_.erase(It);
-}
-
-void sendNames(State &Claims, TimePoint Now, std::vector<Write> &Out) {
-  for (auto &[Slice, Pending] : Claims.PendingNames_) {
-    if (Pending.Sent_ || Now < Pending.RetryAt_)
-      continue;
-    Pending.Sent_ = true;
-    Out.push_back({Write::Kind::Name, Slice, makeServiceName(Slice), {}});
-  }
-}
-
-void onNameWritten(State &Claims, const Write &W,
-                   const ledger::AppendReply &Reply, TimePoint Now) {
-  auto It = Claims.PendingNames_.find(W.Slice_);
-  if (It == Claims.PendingNames_.end())
-    return;
-  // A stored name is in force once it has been read.
-  if (Reply.Status_ != StoreStatus::Done)
-    It->second = {false, Now + ReleaseRetryInterval};
-}
-
 bool holdsSlice(const State &Claims, const NodeId &Node) {
   return std::any_of(Claims.Slices_.begin(), Claims.Slices_.end(),
                      [&](const auto &V) {
@@ -311,13 +160,12 @@
          hasIdleLargePeer(Claims, Now);
 }
 
-} // namespace
-
-std::string_view toString(Predecessor P) {
-  static constexpr std::string_view Names[] = {"none", "ended", "may-run"};
-  return Names[std::size_t(P)];
+std::int64_t uptimeMs(const Options &O, TimePoint Now) {
+  return O.StartedAt_ == TimePoint{} ? 0 : elapsed(O.StartedAt_, Now).count();
 }
 
+} // namespace
+
 void onRecord(State &Claims, const ledger::KeyedRecord &R, TimePoint Now) {
   std::string Name = R.Key_.empty() ? "" : nameOf(R.Key_);
   if (kindOf(R.Key_) == RecordKind::Claim && R.Value_.empty()) {
@@ -352,26 +200,6 @@
       onClaimRemoved(Claims, Slice, LoadEnd);
 }
 
-bool isKnown(const State &Claims, const SliceName &Slice) {
-  auto View = Claims.Slices_.find(Slice);
-  return Claims.ServiceNames_.count(Slice) ||
-         (View != Claims.Slices_.end() && View->second.Number_ > 0);
-}
-
-std::set<SliceName> knownSlices(const State &Claims) {
-  std::set<SliceName> Out = claimedSlices(Claims);
-  for (const auto &[Slice, At] : Claims.ServiceNames_)
-    Out.insert(Slice);
-  return Out;
-}
-
-bool ensureKnown(State &Claims, const SliceName &Slice) {
-  if (isKnown(Claims, Slice))
-    return true;
-  Claims.PendingNames_.try_emplace(Slice);
-  return false;
-}
-
 void onContact(State &Claims, TimePoint CurrentAt, TimePoint Now) {
   Claims.CurrentAt_ = std::max(Claims.CurrentAt_, CurrentAt);
   if (Claims.LastContactAt_ == TimePoint{} ||
@@ -418,14 +246,6 @@
   updatePredecessorEnd(Claims, Own);
 }
 
-namespace {
-
-std::int64_t uptimeMs(const Options &O, TimePoint Now) {
-  return O.StartedAt_ == TimePoint{} ? 0 : elapsed(O.StartedAt_, Now).count();
-}
-
-} // namespace
-
 std::vector<Write> tick(State &Claims, const std::set<SliceName> &Wanted,
                         std::optional<Offset> End, TimePoint Now) {
   std::vector<Write> Out;
@@ -459,26 +279,6 @@
   return Out;
 }
 
-TimePoint inheritedLeasesEnd(const OwnedSlice &Own,
-                             const ledger::Roster &Roster, Milliseconds Lease,
-                             Milliseconds SelfFence) {
-  TimePoint LastOrder = Own.ClaimedAt_;
-  if (Own.Predecessor_ == Predecessor::MayRun)
-    LastOrder += SelfFence;
-  if (Own.PredecessorEndedBy_)
-    LastOrder = std::min(LastOrder, *Own.PredecessorEndedBy_);
-  // The predecessor's roster shows that leases of the owners before it have
-  // ended only if it knew where every task of those owners was.
-  bool Settled = Roster.Settled_ && Roster.Claim_ == Own.PredecessorClaim_;
-  if (!Settled) {
-    bool Seen = Own.PredecessorSeenAt_ != TimePoint{};
-    TimePoint Claimed = Seen ? std::min(Own.PredecessorSeenAt_, Own.ClaimedAt_)
-                             : Own.ClaimedAt_;
-    LastOrder = std::max(LastOrder, Claimed + SelfFence);
-  }
-  return LastOrder + Lease;
-}
-
 std::vector<std::string> peerAddresses(const State &Claims) {
   std::vector<std::string> Out;
   for (const auto &[Name, Node] : Claims.Nodes_)
@@ -487,18 +287,6 @@
   return Out;
 }
 
-void removeSlice(State &Claims, const SliceName &Slice) {
-  auto Own = Claims.OwnSlices_.extract(Slice);
-  if (!Own)
-    return;
-  PendingRelease Release{Own.mapped().Number_, Own.mapped().Generation_};
-  Release.Removes_ = true;
-  if (auto Name = Claims.ServiceNames_.find(Slice);
-      Name != Claims.ServiceNames_.end())
-    Release.Name_ = Name->second;
-  Claims.Releases_[Slice] = Release;
-}
-
 void forgetSlice(State &Claims, const SliceName &Slice) {
   Claims.OwnSlices_.erase(Slice);
 }
