Scheduler: a job accepted after its void record is not removed

Callers would see (LOST, read in this change's review): a queue moves away and back; a job whose void record the owner is about to remove is accepted there meanwhile, and goes with it.

Cause: the removal was planned when the void record was read and not looked at again. Evidence: takeover/a_job_accepted_after_its_void_record_is_not_removed.

Change: a job that is known and open is not removed; a copy forgets a void record once the job is accepted.

--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -29,6 +29,7 @@
   Job.Accepted_ = std::move(Accepted);
   Job.AcceptedOffset_ = At;
   Copy.Jobs_.emplace(Id, std::move(Job));
+  Copy.VoidJobs_.erase(Id);
   return {Change::Kind::Accepted, Id};
 }
 
--- a/packages/ledger/tests/unit-replica.cpp
+++ b/packages/ledger/tests/unit-replica.cpp
@@ -222,6 +222,14 @@
   cr_assert_eq(Copy.Jobs_.count("j1"), 1u);
 }
 
+Test(replica, a_job_accepted_after_its_void_record_is_not_void) {
+  Replica Copy;
+  apply(Copy, closedQueue(2, 4));
+  apply(Copy, jobOfVersion(1, 6));
+  cr_assert(apply(Copy, jobOfVersion(3, 8)).Kind_ == Change::Kind::Accepted);
+  cr_assert(Copy.VoidJobs_.empty());
+}
+
 Test(replica, a_late_record_does_not_reopen_a_queue) {
   Replica Copy;
   apply(Copy, closedQueue(3, 4));
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -165,6 +165,10 @@
          Call.Records_.size() < MaxRecordsPerWrite) {
     JobId Id = *State.ExpiredJobs_.begin();
     State.ExpiredJobs_.erase(State.ExpiredJobs_.begin());
+    // A job whose void record was to be removed may have been accepted since.
+    const Job *J = findJob(State, Id);
+    if (J && !workflow::isClosed(J->State_))
+      continue;
     for (ledger::KeyedRecord &R : ledger::makeRemoval(Id))
       Call.Records_.push_back(std::move(R));
     Pending.Removed_.push_back(Id);
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -238,3 +238,18 @@
   for (const ledger::KeyedRecord &R : ledger::makeRemoval("j2"))
     cr_assert(Keys.count(R.Key_));
 }
+
+// Guards against LOST: a job is accepted after a void record of it was read, as
+// its queue has moved back.
+Test(takeover, a_job_accepted_after_its_void_record_is_not_removed) {
+  FleetCell C({"a"});
+  C.takeOver();
+  C.run(Milliseconds(100));
+  C.StoreDown_ = true;
+  scheduler::onVoidJob(C.owner().State_, "j2");
+  C.run(Milliseconds(100));
+  C.submit("j2", plainJob({plainStep(1)}));
+  C.StoreDown_ = false;
+  cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
+  cr_assert_eq(C.stored().Jobs_.count("j2"), 1u);
+}
