Scheduler: the removal of a void record is sent again if it was refused

Callers see nothing; a record that was never accepted stays in the topic.

Cause: a refused write forgot which records it removed; those of closed jobs are found again, those of jobs that are not known are not. Evidence: takeover/the_ removal_of_a_void_record_is_repeated fails before.

Change: they are removed by the next write.

--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -283,6 +283,7 @@
     count(State.Counters_, "write-refused");
     State.NextWriteAt_ = Now + detail::WriteRetryInterval;
     State.RosterDirty_ = State.RosterDirty_ || Pending.HasRoster_;
+    State.ExpiredJobs_.insert(Pending.Removed_.begin(), Pending.Removed_.end());
     detail::markAllDirty(State, Now);
     return;
   }
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -250,3 +250,16 @@
   cr_assert(C.runUntil([&] { return C.state("j2") == JobState::Completed; }));
   cr_assert_eq(C.stored().Jobs_.count("j2"), 1u);
 }
+
+// Guards against a void record that stays, as the write that was to remove it
+// has been refused.
+Test(takeover, the_removal_of_a_void_record_is_repeated) {
+  FleetCell C({"a"});
+  C.takeOver();
+  C.run(Milliseconds(100));
+  C.StoreDown_ = true;
+  scheduler::onVoidJob(C.owner().State_, "j2");
+  C.run(Milliseconds(100));
+  cr_assert(C.owner().State_.PendingWrite_ ||
+            C.owner().State_.ExpiredJobs_.count("j2"));
+}
