--- a/packages/scheduler/tests/unit-gangs.cpp
+++ b/packages/scheduler/tests/unit-gangs.cpp
@@ -61,8 +61,9 @@
   };
   C.submit("j1", plainJob({gangOf(2)}));
   C.run(Milliseconds(400));
-  auto &P = C.owner().State_.Jobs_.at("j1").Open_.at(0).Steps_[0];
-  C.restartWorker(P.Tasks_[0].Run_->Worker_);
+  auto &Occurrences = C.owner().State_.Jobs_.at("j1").Open_;
+  C.restartWorker(Occurrences.at(0).Steps_[0].Tasks_[0].Run_->Worker_);
+  cr_assert(C.runUntil([&] { return C.Starts_.size() == 4; }));
+  cr_assert_eq(Occurrences.at(0).Steps_[0].GangCheckpoint_, "saved");
   cr_assert(C.runUntil([&] { return C.state("j1") == JobState::Completed; }));
-  cr_assert_eq(P.GangCheckpoint_, "saved");
 }
