Ownership: the intervals of an owner's heartbeats differ

Cause: an entry pauses for 0.2 s after each read of the claims topic. Owners sent a heartbeat every 0.6 s, so those of several owners came in the same order for ever. One that came in the pause after another's was read late each time, and the next owner counted the leases from its reading: the bound by the sender's uptime, which takes the earliest of several heartbeats, can't help if all of them are late by the same time.

Change: intervals are 525 to 675 ms, by a hash of the entry and the time of the last heartbeat.

--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -15,6 +15,9 @@
   std::string Address_; ///< Of this entry, for messages between entries.
   /// Heartbeat interval of an entry that owns a slice.
   Milliseconds OwnerHeartbeatInterval_{600};
+  /// Intervals of an owner's heartbeats differ by up to this, so that entries
+  /// which pause between two reads do not read each of them late.
+  Milliseconds OwnerHeartbeatJitter_{150};
   /// Heartbeat interval of an entry that owns no slice. Its heartbeats only
   /// publish its address and its CPU.
   Milliseconds IdleHeartbeatInterval_{5'000};
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -190,6 +190,18 @@
          hasIdleLargePeer(Claims, Now);
 }
 
+/// Time from the last heartbeat to the next one.
+Milliseconds heartbeatInterval(const State &Claims) {
+  const Options &O = Claims.Options_;
+  if (Claims.OwnSlices_.empty())
+    return O.IdleHeartbeatInterval_;
+  auto Spread = std::uint64_t(O.OwnerHeartbeatJitter_.count());
+  auto SentAt = elapsed(TimePoint{}, Claims.HeartbeatSentAt_).count();
+  auto Jitter = stableHash(O.Self_ + std::to_string(SentAt)) % (Spread + 1);
+  return O.OwnerHeartbeatInterval_ - O.OwnerHeartbeatJitter_ / 2 +
+         Milliseconds(std::int64_t(Jitter));
+}
+
 std::int64_t uptimeMs(const Options &O, TimePoint Now) {
   return O.StartedAt_ == TimePoint{} ? 0 : elapsed(O.StartedAt_, Now).count();
 }
@@ -296,11 +308,9 @@
   if (End && elapsed(Claims.LastContactAt_, Now) < MaxContactGap)
     claimFreeSlices(Claims, Wanted, *End, Now, Out);
   const Options &O = Claims.Options_;
-  Milliseconds Interval = Claims.OwnSlices_.empty() ? O.IdleHeartbeatInterval_
-                                                    : O.OwnerHeartbeatInterval_;
-  bool Due =
-      Claims.StartOffset_ != 0 && (Claims.HeartbeatSentAt_ == TimePoint{} ||
-                                   Now - Claims.HeartbeatSentAt_ >= Interval);
+  bool Due = Claims.StartOffset_ != 0 &&
+             (Claims.HeartbeatSentAt_ == TimePoint{} ||
+              Now - Claims.HeartbeatSentAt_ >= heartbeatInterval(Claims));
   // One at a time: an owner whose writes take long is silent, and is replaced
   // by an entry whose writes don't.
   if (Due && !Claims.HeartbeatInFlight_) {
--- a/packages/ownership/tests/unit-former-owners.cpp
+++ b/packages/ownership/tests/unit-former-owners.cpp
@@ -272,3 +272,82 @@
   cr_assert(S.OwnSlices_.empty());
   cr_assert_eq(C.Entries_[1 - Owner].OwnSlices_.count("s"), 1);
 }
+
+namespace {
+
+/// An entry that pauses after each read, as those of a fleet do.
+struct PausingReader {
+  static constexpr Milliseconds Pause{200};
+  State Claims_;
+  std::size_t Read_ = 0;
+  TimePoint NextReadAt_{};
+
+  void read(const ClaimsCell &C) {
+    if (C.Now_ < NextReadAt_ || Read_ == C.Log_.size())
+      return;
+    for (; Read_ < C.Log_.size(); ++Read_)
+      onRecord(Claims_, C.Log_[Read_], C.Now_);
+    NextReadAt_ = C.Now_ + Pause;
+  }
+};
+
+} // namespace
+
+// Guards against LOST: the heartbeats of several owners come in the same order
+// for ever, so that an entry reads each one of the lost owner late, and counts
+// its leases from then.
+Test(former_owners, no_owner_is_always_read_late) {
+  ClaimsCell C(3);
+  C.Wanted_ = {"s", "t", "u"};
+  PausingReader Reader;
+  auto Run = [&](Milliseconds Time, auto OnStep) {
+    for (TimePoint End = C.Now_ + Time; C.Now_ < End; OnStep()) {
+      C.step();
+      Reader.read(C);
+    }
+  };
+  Run(Milliseconds(10'000), [] {});
+  for (std::size_t I = 0; I < C.Entries_.size(); ++I)
+    C.Entries_[I].HeartbeatSentAt_ -= Milliseconds(150) * I;
+  Run(Milliseconds(10'000), [] {});
+  std::size_t Moments = 0, Late = 0;
+  Run(Milliseconds(60'000), [&] {
+    for (const State &Owner : C.Entries_)
+      for (const auto &[Slice, Own] : Owner.OwnSlices_) {
+        Milliseconds Delay =
+            elapsed(Owner.HeartbeatSentAt_,
+                    Reader.Claims_.Slices_[Slice].HolderSentBy_);
+        ++Moments;
+        Late += Delay > PausingReader::Pause / 2;
+      }
+  });
+  cr_assert_gt(Moments, 0);
+  cr_assert_lt(Late * 10, Moments);
+}
+
+// Guards against an owner that stops sending orders while the store is slow for
+// every entry: its heartbeats wait for each other.
+Test(former_owners, an_owner_on_a_slow_store_keeps_its_slices) {
+  constexpr Milliseconds AppendTime{1'500};
+  ClaimsCell C(2);
+  C.run(Milliseconds(10'000));
+  std::size_t Owner = C.owners().front();
+  std::vector<std::pair<TimePoint, Write>> Waiting;
+  for (TimePoint End = C.Now_ + Milliseconds(60'000); C.Now_ < End;) {
+    C.Now_ += Milliseconds(25);
+    for (State &S : C.Entries_)
+      onContact(S, C.Now_, C.Now_);
+    if (!Waiting.empty() && Waiting.front().first <= C.Now_) {
+      Write W = Waiting.front().second;
+      Waiting.erase(Waiting.begin());
+      onWritten(C.Entries_[Owner], W, C.append(W), C.Now_);
+    }
+    for (const Write &W :
+         tick(C.Entries_[Owner], C.Wanted_, C.Log_.size(), C.Now_))
+      Waiting.push_back({C.Now_ + AppendTime, W});
+    State &Other = C.Entries_[1 - Owner];
+    tick(Other, C.Wanted_, C.Log_.size(), C.Now_);
+    cr_assert(Other.ClaimsInFlight_.empty());
+    cr_assert(maySendOrders(C.Entries_[Owner], "s", C.Now_));
+  }
+}
