Scheduler: what is known of one incarnation of a worker in a type of its own

A restart replaces it as a whole. Before, five members of Worker were reset one by one; the tail target, the share of best-effort tasks and the size of unclaimed runs weren't, and were right again with the next list.

--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -123,6 +123,22 @@
   std::optional<TimePoint> SettledAt_ = {};
 };
 
+/// What the owner knows of one incarnation of a worker. A restart replaces it
+/// as a whole, so that nothing is applied to a later incarnation.
+struct Incarnation {
+  std::int64_t StartedUnixMs_ = 0; ///< Its start; 0 if none is known.
+  Milliseconds Clock_{0};          ///< Its clock, as read at ClockAt_.
+  TimePoint ClockAt_{};
+  std::uint64_t SeenEnd_ = 0;   ///< Highest number of an end processed.
+  std::uint64_t StoredEnd_ = 0; ///< Ends up to this number are stored.
+  std::uint64_t SentAck_ = 0;   ///< Highest end number acknowledged so far.
+  std::set<JobId> FailedJobs_;  ///< Jobs with failures there since a success.
+  bool HasTailTarget_ = false;  ///< Lists a task with a target of its latency.
+  /// CPU limit of best-effort tasks there, in percent.
+  unsigned BestEffortShare_ = 100;
+  Resources UnclaimedSize_; ///< Of listed runs that belong to no known job.
+};
+
 /// A worker of the slice as the owner sees it.
 struct Worker {
   WorkerInfo Info_;
@@ -134,13 +150,9 @@
   /// roster, so that no later owner waits for it.
   bool Released_ = false;
   bool RunsKnown_ = false; ///< It has listed its runs under this token.
-  /// Start (Unix time in ms) of the incarnation that answered last.
-  std::int64_t Incarnation_ = 0;
+  Incarnation Known_;      ///< The one that answered last.
   std::set<TaskId> Tasks_;
-  Resources Used_;          ///< Sum of Run::Charged_ over its runs.
-  Resources UnclaimedSize_; ///< Of listed runs that belong to no known job.
-  Milliseconds Clock_{0};   ///< Its clock, as read at ClockAt_.
-  TimePoint ClockAt_{};
+  Resources Used_; ///< Sum of Run::Charged_ over its runs.
   bool RenewInFlight_ = false;
   TimePoint RenewDueAt_{}; ///< Set by scheduleRenewal() only.
   unsigned Misses_ = 0;    ///< Consecutive unanswered renewals.
@@ -160,14 +172,7 @@
   /// By task and run; see recordStartSent().
   std::map<std::pair<TaskId, std::uint32_t>, UnconfirmedStart>
       UnconfirmedStarts_;
-  std::uint64_t SeenEnd_ = 0;   ///< Highest number of an end processed.
-  std::uint64_t StoredEnd_ = 0; ///< Ends up to this number are stored.
-  std::uint64_t SentAck_ = 0;   ///< Highest end number acknowledged so far.
-  std::set<JobId> FailedJobs_;  ///< Jobs with failures there since a success.
-  TimePoint AvoidUntil_{};      ///< No new tasks before this time.
-  bool HasTailTarget_ = false;  ///< Lists a task with a target of its latency.
-  /// CPU limit of best-effort tasks there, in percent.
-  unsigned BestEffortShare_ = 100;
+  TimePoint AvoidUntil_{}; ///< No new tasks before this time.
   // For logging only.
   TimePoint FirstMissAt_{};         ///< When the first of Misses_ was sent.
   Milliseconds LastMissTimeout_{0}; ///< Timeout of the last unanswered renewal.
--- a/packages/scheduler/src/incarnations.cpp
+++ b/packages/scheduler/src/incarnations.cpp
@@ -17,10 +17,10 @@
 /// Whether \p Clock, read after \p SentAt, is that of the incarnation that
 /// answered the last renewal.
 bool isSameClock(const Worker &W, Milliseconds Clock, TimePoint SentAt) {
-  if (!W.RunsKnown_ || W.Clock_ < MinComparableClock)
+  if (!W.RunsKnown_ || W.Known_.Clock_ < MinComparableClock)
     return false;
-  double Passed = double(elapsed(W.ClockAt_, SentAt).count());
-  double Least = double(W.Clock_.count()) +
+  double Passed = double(elapsed(W.Known_.ClockAt_, SentAt).count());
+  double Least = double(W.Known_.Clock_.count()) +
                  (Passed > 0 ? Passed * (1 - ClockDrift) : Passed);
   return double(Clock.count()) >= Least;
 }
@@ -71,7 +71,7 @@
 } // namespace
 
 bool isClockCurrent(const Worker &W) {
-  return W.Info_.StartedUnixMs_ <= W.Incarnation_;
+  return W.Info_.StartedUnixMs_ <= W.Known_.StartedUnixMs_;
 }
 
 void recordStartSent(Worker &W, const StartCall &Call, TimePoint Now) {
@@ -94,7 +94,7 @@
 }
 
 std::int64_t rosterIncarnation(const Worker &W) {
-  return W.RunsKnown_ ? W.Incarnation_ : W.Info_.StartedUnixMs_;
+  return W.RunsKnown_ ? W.Known_.StartedUnixMs_ : W.Info_.StartedUnixMs_;
 }
 
 TimePoint inheritedLeasesEnd(const State &State, const WorkerId &Id) {
@@ -143,7 +143,7 @@
 
 void updateIncarnation(State &State, Worker &W, const RenewReply &Reply,
                        TimePoint SentAt, TimePoint Now) {
-  if (W.RunsKnown_ && W.Incarnation_ == Reply.StartedUnixMs_)
+  if (W.RunsKnown_ && W.Known_.StartedUnixMs_ == Reply.StartedUnixMs_)
     return confirmStarts(W, SentAt);
   if (!W.RunsKnown_) {
     inheritLeases(State, W, Reply.StartedUnixMs_, Now);
@@ -158,9 +158,7 @@
     State.RosterDirty_ = true;
   }
   confirmStarts(W, SentAt);
-  W.Incarnation_ = Reply.StartedUnixMs_;
-  W.SeenEnd_ = W.StoredEnd_ = W.SentAck_ = 0;
-  W.FailedJobs_.clear();
+  W.Known_ = Incarnation{Reply.StartedUnixMs_};
 }
 
 } // namespace pollenvale::scheduler::detail
--- a/packages/scheduler/src/orders.cpp
+++ b/packages/scheduler/src/orders.cpp
@@ -75,7 +75,7 @@
   if (!R.StopRequested_)
     State.PendingOrders_.erase(Call.Task_);
   Worker &W = State.Workers_.at(R.Worker_);
-  if (!W.RenewInFlight_ && W.SeenEnd_ == W.StoredEnd_)
+  if (!W.RenewInFlight_ && W.Known_.SeenEnd_ == W.Known_.StoredEnd_)
     detail::scheduleRenewal(State, W, Now);
   count(State.Counters_, "start-accepted");
 }
--- a/packages/scheduler/src/renewals.cpp
+++ b/packages/scheduler/src/renewals.cpp
@@ -38,7 +38,7 @@
   if (Now < State.LossyUntil_)
     return LossyRenewWait;
   // Its latency is controlled by what renewals report.
-  if (W.HasTailTarget_)
+  if (W.Known_.HasTailTarget_)
     return MinRenewWait;
   auto ForSlice = std::chrono::duration_cast<Milliseconds>(
       RenewWaitPerWorker * std::int64_t(State.Workers_.size()));
@@ -57,7 +57,7 @@
   RenewCall Call{makeTarget(State, W)};
   bool MayAcknowledge = mayAcknowledge(W);
   if (MayAcknowledge)
-    Call.AckedEnd_ = W.StoredEnd_;
+    Call.AckedEnd_ = W.Known_.StoredEnd_;
   // A worker that does not answer may be gone. Its tasks start elsewhere once
   // its leases have expired, so no further lease is granted. Nor is one if it
   // has restarted: its new clock is not known yet.
@@ -66,8 +66,8 @@
     Call.LeaseUntil_ = workerClock(W, Now) + Lease;
     extendLease(State, W, Lease, Now);
     // Otherwise an acknowledgement follows, which the reply may allow.
-    if (!W.Tasks_.empty() && W.SeenEnd_ == W.StoredEnd_ &&
-        (MayAcknowledge || W.SentAck_ == W.StoredEnd_))
+    if (!W.Tasks_.empty() && W.Known_.SeenEnd_ == W.Known_.StoredEnd_ &&
+        (MayAcknowledge || W.Known_.SentAck_ == W.Known_.StoredEnd_))
       Call.Wait_ = renewWait(State, W, Now);
   } else if (W.Misses_ > 0) {
     Call.Target_.Timeout_ = retryTimeout(State, W, Now);
@@ -92,10 +92,10 @@
 namespace {
 
 void recordAck(Worker &W, std::uint64_t Acked, TimePoint Now, Outbox &Out) {
-  if (Acked <= W.SentAck_)
+  if (Acked <= W.Known_.SentAck_)
     return;
   traceAck(W, Acked, Now, Out);
-  W.SentAck_ = Acked;
+  W.Known_.SentAck_ = Acked;
 }
 
 } // namespace
@@ -193,7 +193,7 @@
 /// ones of open tasks if this is the \p First list, and stops all others.
 void applyRunning(State &State, Worker &W, const RenewReply &Reply, bool First,
                   TimePoint Now, Outbox &Out) {
-  W.UnclaimedSize_ = {};
+  W.Known_.UnclaimedSize_ = {};
   for (const RunningTask &R : Reply.Running_) {
     Task *T = findTask(State, R.Task_);
     bool IsCurrentRun = T && T->Run_ && T->Run_->Worker_ == W.Info_.Id_ &&
@@ -210,7 +210,7 @@
     }
     count(State.Counters_, "run-unclaimed");
     if (const workflow::StepSpec *Spec = findSpec(State, R.Task_.Step_))
-      W.UnclaimedSize_ += workflow::chargedSize(*Spec);
+      W.Known_.UnclaimedSize_ += workflow::chargedSize(*Spec);
     Out.Stops_.push_back({makeTarget(State, W), R.Task_, R.Run_});
   }
 }
@@ -251,9 +251,9 @@
 
 /// Time from the reply to a renewal to the next renewal.
 Milliseconds renewalPause(const Worker &W) {
-  if (W.SeenEnd_ > W.StoredEnd_)
+  if (W.Known_.SeenEnd_ > W.Known_.StoredEnd_)
     return AckWait;
-  if (W.SentAck_ < W.StoredEnd_)
+  if (W.Known_.SentAck_ < W.Known_.StoredEnd_)
     return RenewSpacing;
   return W.Tasks_.empty() ? IdleRenewInterval : RenewSpacing;
 }
@@ -292,19 +292,19 @@
   if (std::size_t Unreadable = Reply.UnreadableRuns_ + Reply.UnreadableEnds_)
     count(State.Counters_, "row-unreadable", Unreadable);
   detail::resetMisses(W);
-  W.Clock_ = Reply.Clock_;
-  W.ClockAt_ = Now;
   bool First = !W.RunsKnown_;
   detail::updateIncarnation(State, W, Reply, SentAt, Now);
+  W.Known_.Clock_ = Reply.Clock_;
+  W.Known_.ClockAt_ = Now;
   W.RunsKnown_ = true;
   W.LeaseInFlight_ = false;
   W.AnsweredSentAt_ = SentAt;
   for (const EndedTask &End : Reply.Ended_) {
-    if (End.Number_ <= W.SeenEnd_) {
+    if (End.Number_ <= W.Known_.SeenEnd_) {
       detail::traceKnownEnd(State, Call.Target_.Worker_, End, Out);
       continue;
     }
-    W.SeenEnd_ = End.Number_;
+    W.Known_.SeenEnd_ = End.Number_;
     State.AcksDirty_ = true;
     detail::applyEnd(State, Call.Target_.Worker_, End, SentAt, Now, Out);
   }
--- a/packages/scheduler/src/tasks.cpp
+++ b/packages/scheduler/src/tasks.cpp
@@ -152,21 +152,22 @@
 void updateFailedJobs(State &State, Worker &W, const EndedTask &End,
                       TimePoint Now, Outbox &Out) {
   if (End.Kind_ == EndKind::Done) {
-    W.FailedJobs_.clear();
+    W.Known_.FailedJobs_.clear();
     return;
   }
   // A service may fail at any time, and never succeeds.
   const workflow::StepSpec *Spec = findSpec(State, End.Task_.Step_);
   if (End.Kind_ != EndKind::Failed || (Spec && Spec->LongRunning_))
     return;
-  W.FailedJobs_.insert(End.Task_.Step_.Job_);
-  if (W.FailedJobs_.size() < JobsBeforeAvoiding || !maySetAside(State, Now))
+  W.Known_.FailedJobs_.insert(End.Task_.Step_.Job_);
+  if (W.Known_.FailedJobs_.size() < JobsBeforeAvoiding ||
+      !maySetAside(State, Now))
     return;
   count(State.Counters_, "worker-set-aside");
   W.AvoidUntil_ = Now + AvoidTime;
-  Out.Notes_.push_back(
-      {"worker-set-aside",
-       {{"worker", W.Info_.Id_}, {"failed_jobs", W.FailedJobs_.size()}}});
+  Out.Notes_.push_back({"worker-set-aside",
+                        {{"worker", W.Info_.Id_},
+                         {"failed_jobs", W.Known_.FailedJobs_.size()}}});
 }
 
 /// Whether the task is done. False if it has been removed with its occurrence.
--- a/packages/scheduler/src/throttle.cpp
+++ b/packages/scheduler/src/throttle.cpp
@@ -53,11 +53,12 @@
 
 void adjustThrottle(State &State, Worker &W, const RenewReply &Reply,
                     Outbox &Out) {
-  W.HasTailTarget_ = listsTailTarget(State, Reply);
+  W.Known_.HasTailTarget_ = listsTailTarget(State, Reply);
   double TailRatio = worstTailRatio(State, Reply);
-  unsigned Share =
-      TailRatio == 0 ? FullShare : nextShare(W.BestEffortShare_, TailRatio);
-  W.BestEffortShare_ = Share;
+  unsigned Share = TailRatio == 0
+                       ? FullShare
+                       : nextShare(W.Known_.BestEffortShare_, TailRatio);
+  W.Known_.BestEffortShare_ = Share;
   for (const TaskId &Id : W.Tasks_) {
     const workflow::StepSpec *Spec = findSpec(State, Id.Step_);
     Task *T = findTask(State, Id);
--- a/packages/scheduler/src/trace.cpp
+++ b/packages/scheduler/src/trace.cpp
@@ -42,7 +42,7 @@
            {"sends", R.Sends_},
            {"started_ms", msSince(R.StartedAt_, Now)},
            {"accepted_ms", msSince(R.SettledAt_.value_or(TimePoint{}), Now)},
-           {"answered_ms", msSince(W.ClockAt_, Now)},
+           {"answered_ms", msSince(W.Known_.ClockAt_, Now)},
            {"misses", W.Misses_},
            {"first_miss_ms", W.Misses_ > 0 ? msSince(W.FirstMissAt_, Now) : -1},
            {"limit_ms", W.LastMissTimeout_.count()}});
@@ -109,8 +109,8 @@
            {"worker", Where},
            {"end", toString(End.Kind_)},
            {"number", End.Number_},
-           {"seen", W.SeenEnd_},
-           {"stored", W.StoredEnd_}});
+           {"seen", W.Known_.SeenEnd_},
+           {"stored", W.Known_.StoredEnd_}});
 }
 
 void traceMiss(State &State, Worker &W, const RenewCall &Call, TimePoint SentAt,
@@ -130,7 +130,7 @@
            {"sent_ms", msSince(SentAt, Now)},
            {"limit_ms", Call.Target_.Timeout_.count()},
            {"wait_ms", Call.Wait_.count()},
-           {"answered_ms", msSince(W.ClockAt_, Now)}});
+           {"answered_ms", msSince(W.Known_.ClockAt_, Now)}});
 }
 
 void traceAck(Worker &W, std::uint64_t Acked, TimePoint Now, Outbox &Out) {
@@ -138,7 +138,7 @@
     return;
   addNote(Out, "ends-acknowledged-after-give-up",
           {{"worker", W.Info_.Id_},
-           {"before", W.SentAck_},
+           {"before", W.Known_.SentAck_},
            {"up_to", Acked},
            {"runs_given_up", W.AbandonedRunCount_},
            {"given_up_ms", msSince(W.LastAbandonedAt_, Now)}});
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 Milliseconds workerClock(const Worker &W, TimePoint Now) {
-  return W.Clock_ + elapsed(W.ClockAt_, Now);
+  return W.Known_.Clock_ + elapsed(W.Known_.ClockAt_, Now);
 }
 
 Target makeTarget(const State &State, const Worker &W) {
@@ -32,13 +32,13 @@
 }
 
 Resources freeResources(const Worker &W) {
-  return W.Info_.Capacity_ - W.Used_ - W.UnclaimedSize_;
+  return W.Info_.Capacity_ - W.Used_ - W.Known_.UnclaimedSize_;
 }
 
 bool acceptsTasks(const Worker &W, TimePoint Now) {
   // After a restart, the registry may still show the service, the capacity and
   // the labels of the former incarnation.
-  bool SameIncarnation = W.Info_.StartedUnixMs_ == W.Incarnation_;
+  bool SameIncarnation = W.Info_.StartedUnixMs_ == W.Known_.StartedUnixMs_;
   return W.InRegistry_ && W.Rostered_ && W.RunsKnown_ && SameIncarnation &&
          !W.Info_.Draining_ && W.Misses_ < MissesBeforeAvoiding &&
          Now >= W.AvoidUntil_;
@@ -77,8 +77,8 @@
 /// Updates Worker::Released_. A later owner learns of ends that are not stored
 /// from the worker only, so it must wait for that worker.
 void releaseEmpty(State &State, Worker &W, TimePoint Now) {
-  bool Empty = W.Tasks_.empty() && W.UnclaimedSize_ == Resources{} &&
-               W.SeenEnd_ == W.StoredEnd_;
+  bool Empty = W.Tasks_.empty() && W.Known_.UnclaimedSize_ == Resources{} &&
+               W.Known_.SeenEnd_ == W.Known_.StoredEnd_;
   bool Release = W.Info_.Draining_ && W.RunsKnown_ && Empty &&
                  !State.UnconfirmedWorkers_.count(W.Info_.Id_);
   if (Release == W.Released_)
@@ -161,7 +161,7 @@
   State.RosterDirty_ = State.RosterDirty_ || New;
   if (New || !W.InRegistry_ || W.Info_.Draining_ != Info.Draining_)
     State.PlacementNeeded_ = true;
-  if (W.RunsKnown_ && Info.StartedUnixMs_ > W.Incarnation_ &&
+  if (W.RunsKnown_ && Info.StartedUnixMs_ > W.Known_.StartedUnixMs_ &&
       Info.StartedUnixMs_ != W.Info_.StartedUnixMs_)
     detail::extendMisreadLease(State, W, Now);
   W.Info_ = Info;
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -32,11 +32,12 @@
 /// acknowledged by a renewal, at once if the worker has tasks that may end.
 void acknowledge(State &State, const PendingAck &Ack, TimePoint Now) {
   auto It = State.Workers_.find(Ack.Worker_);
-  if (It == State.Workers_.end() || It->second.Incarnation_ != Ack.Incarnation_)
+  if (It == State.Workers_.end() ||
+      It->second.Known_.StartedUnixMs_ != Ack.Incarnation_)
     return;
   Worker &W = It->second;
-  W.StoredEnd_ = std::max(W.StoredEnd_, Ack.End_);
-  if (W.SeenEnd_ != W.StoredEnd_ || W.Misses_ > 0)
+  W.Known_.StoredEnd_ = std::max(W.Known_.StoredEnd_, Ack.End_);
+  if (W.Known_.SeenEnd_ != W.Known_.StoredEnd_ || W.Misses_ > 0)
     return;
   scheduleRenewal(State, W, W.Tasks_.empty() ? Now + IdleAckDelay : Now);
 }
@@ -44,8 +45,8 @@
 std::vector<PendingAck> collectAcks(const State &State) {
   std::vector<PendingAck> Out;
   for (const auto &[Id, W] : State.Workers_)
-    if (W.SeenEnd_ > W.StoredEnd_)
-      Out.push_back({Id, W.Incarnation_, W.SeenEnd_});
+    if (W.Known_.SeenEnd_ > W.Known_.StoredEnd_)
+      Out.push_back({Id, W.Known_.StartedUnixMs_, W.Known_.SeenEnd_});
   return Out;
 }
 
--- a/packages/scheduler/tests/unit-renewals.cpp
+++ b/packages/scheduler/tests/unit-renewals.cpp
@@ -51,7 +51,7 @@
      workers_with_a_latency_target_report_as_often_as_in_a_small_one) {
   State S = busySlice(800);
   for (auto &[Id, W] : S.Workers_)
-    W.HasTailTarget_ = true;
+    W.Known_.HasTailTarget_ = true;
   cr_assert_eq(renewalsPerSecond(std::move(S)), 800 * 2);
 }
 
--- a/packages/scheduler/tests/unit-takeover.cpp
+++ b/packages/scheduler/tests/unit-takeover.cpp
@@ -181,7 +181,7 @@
   C.drain("a");
   C.run(Milliseconds(300));
   const scheduler::Worker &W = C.owner().State_.Workers_.at("a");
-  cr_assert_gt(W.SeenEnd_, W.StoredEnd_);
+  cr_assert_gt(W.Known_.SeenEnd_, W.Known_.StoredEnd_);
   cr_assert_not(W.Released_);
   C.StoreDown_ = false;
   C.run(Milliseconds(1'000));
