--- a/packages/ownership/detail/claims.hpp
+++ b/packages/ownership/detail/claims.hpp
@@ -165,6 +165,10 @@
   bool HeartbeatInFlight_ = false;
   /// When the newest heartbeat was sent that this entry has read back.
   TimePoint StoredHeartbeatSentAt_{};
+  /// Offset plus 1 of the newest heartbeat that this entry has read back in the
+  /// order of offsets, so that it knows every claim before it.
+  ClaimNumber StoredHeartbeatNumber_ = 0;
+  bool Loading_ = false;  ///< The topic is being loaded, in no order.
   bool Stopping_ = false; ///< Set by the driver: release all, claim nothing.
   /// Since when this entry does not keep up with its slices; set by the driver.
   std::optional<TimePoint> OverloadedSince_;
@@ -185,6 +189,8 @@
 
 /// Applies a record that was read from the claims topic.
 void onRecord(State &Claims, const ledger::KeyedRecord &R, TimePoint Now);
+/// A load of the topic begins.
+void onLoadBegins(State &Claims);
 /// Forgets the claims that a completed load of the topic lacks: they have been
 /// removed. \p Keys: keys of the loaded records. \p LoadEnd: end of the
 /// partition when the load began.
@@ -233,6 +239,11 @@
 /// back, as every claim before it has then been read, too. In the past if this
 /// entry does not own the slice.
 TimePoint ordersEndAt(const State &Claims, const SliceName &Slice);
+/// Fencing token of orders for the slice that are sent now; 0 if this entry
+/// does not own the slice. Grows with each heartbeat that is stored, and is
+/// lower than the number of every later claim: a claim before such a heartbeat
+/// would have been read before it.
+Token orderToken(const State &Claims, const SliceName &Slice);
 /// False when this entry must send no orders for the slice: another entry may
 /// have claimed it and waits no longer for this one's orders.
 bool maySendOrders(const State &Claims, const SliceName &Slice, TimePoint Now);
--- a/packages/ownership/src/claims.cpp
+++ b/packages/ownership/src/claims.cpp
@@ -52,13 +52,19 @@
     Claims.OwnSlices_.erase(Own);
 }
 
+void onOwnHeartbeat(State &Claims, const NodeRecord &R, Offset Offset) {
+  TimePoint StartedAt = Claims.Options_.StartedAt_;
+  if (StartedAt != TimePoint{})
+    Claims.StoredHeartbeatSentAt_ = std::max(
+        Claims.StoredHeartbeatSentAt_, StartedAt + Milliseconds(R.UptimeMs_));
+  if (!Claims.Loading_)
+    Claims.StoredHeartbeatNumber_ = Offset + 1;
+}
+
 void onHeartbeat(State &Claims, const std::string &Name, const NodeRecord &R,
-                 TimePoint Now) {
-  const Options &O = Claims.Options_;
-  if (R.Node_ == O.Self_ && O.StartedAt_ != TimePoint{})
-    Claims.StoredHeartbeatSentAt_ =
-        std::max(Claims.StoredHeartbeatSentAt_,
-                 O.StartedAt_ + Milliseconds(R.UptimeMs_));
+                 Offset Offset, TimePoint Now) {
+  if (R.Node_ == Claims.Options_.Self_)
+    onOwnHeartbeat(Claims, R, Offset);
   for (auto &[Slice, Held] : Claims.Slices_)
     if (Held.Holder_ == R.Node_)
       onHolderHeartbeat(Held, R, Now);
@@ -220,7 +226,7 @@
   } else if (kindOf(R.Key_) == RecordKind::Node) {
     auto Node = parseNode(R.Value_);
     if (Node)
-      onHeartbeat(Claims, Name, *Node, Now);
+      onHeartbeat(Claims, Name, *Node, R.Offset_, Now);
     Claims.UnreadableRecords_ += !Node;
   } else if (kindOf(R.Key_) == RecordKind::Service) {
     Claims.PendingNames_.erase(Name);
@@ -231,8 +237,11 @@
   }
 }
 
+void onLoadBegins(State &Claims) { Claims.Loading_ = true; }
+
 void onLoaded(State &Claims, const std::set<std::string> &Keys, Offset LoadEnd,
               TimePoint Now) {
+  Claims.Loading_ = false;
   // A load omits heartbeats of a holder that were replaced by those of another
   // VM of the same name.
   for (auto &[Slice, View] : Claims.Slices_)
@@ -345,6 +354,13 @@
   return std::min(Claims.CurrentAt_, StoredSentAt) + Claims.Options_.SelfFence_;
 }
 
+Token orderToken(const State &Claims, const SliceName &Slice) {
+  auto Own = Claims.OwnSlices_.find(Slice);
+  if (Own == Claims.OwnSlices_.end())
+    return 0;
+  return std::max(Own->second.Number_, Claims.StoredHeartbeatNumber_);
+}
+
 bool maySendOrders(const State &Claims, const SliceName &Slice, TimePoint Now) {
   return Now < ordersEndAt(Claims, Slice);
 }
--- a/packages/ownership/tests/unit-order-bounds.cpp
+++ b/packages/ownership/tests/unit-order-bounds.cpp
@@ -1,5 +1,6 @@
-/// A property over random schedules: no former owner sends an order after the
-/// time that a later owner counts from.
+/// Properties over random schedules: no former owner sends an order after the
+/// time that a later owner counts from, nor one with a token that is not lower
+/// than each later claim.
 #include "ownership/ownership.hpp"
 
 #include <criterion/criterion.h>
@@ -51,8 +52,10 @@
   std::vector<Call> Calls_;
   bool StoreDown_ = false;
   std::map<ClaimNumber, TimePoint> LastOrders_;
+  std::map<ClaimNumber, Token> HighestTokens_; ///< Of orders, by claim.
   std::size_t Claims_ = 0;
   std::size_t Nodes_ = 0;
+  std::size_t Raised_ = 0; ///< Owners whose token has grown.
   std::string Broken_;
 
   explicit OrderModel(std::uint64_t Seed) : Random_{Seed} {
@@ -163,8 +166,23 @@
   void recordOrders(const Process &P) {
     auto Own = P.State_.OwnSlices_.find("s");
     if (Own != P.State_.OwnSlices_.end() &&
-        maySendOrders(P.State_, "s", clockOf(P)))
+        maySendOrders(P.State_, "s", clockOf(P))) {
       LastOrders_[Own->second.Number_] = Now_;
+      Token &Highest = HighestTokens_[Own->second.Number_];
+      Highest = std::max(Highest, orderToken(P.State_, "s"));
+    }
+  }
+
+  /// Checks the tokens of all owners, whenever their orders were sent.
+  void checkTokens() {
+    Token Before = 0;
+    for (const auto &[Number, Highest] : HighestTokens_) {
+      if (Number <= Before)
+        Broken_ = "claim " + std::to_string(Number) +
+                  " follows orders with token " + std::to_string(Before);
+      Raised_ += Highest > Number;
+      Before = std::max(Before, Highest);
+    }
   }
 
   void check(const Process &P) {
@@ -270,3 +288,19 @@
   }
   cr_assert_gt(Claims, 3 * Seeds, "owners change");
 }
+
+// Guards against TWICE: a worker that has seen a former owner's token would
+// refuse a later owner's orders, and carry out the former one's.
+Test(order_bounds, tokens_of_former_owners_are_lower_than_each_later_claim) {
+  constexpr std::uint64_t Seeds = 500;
+  std::size_t Raised = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    OrderModel M(Seed);
+    M.run(Milliseconds(60'000));
+    M.checkTokens();
+    cr_assert(M.Broken_.empty(), "seed %llu: %s", (unsigned long long)Seed,
+              M.Broken_.c_str());
+    Raised += M.Raised_;
+  }
+  cr_assert_gt(Raised, 3 * Seeds, "owners raise their tokens");
+}
