Scheduler: a restart of an inherited worker is passed on to later owners

What callers saw: two runs of a task at once.

Cause: a worker restarts, takes a start that was meant for its former life, and holds the longest lease. The next owner sees the restart in the registry, but stored in the roster what the former owner knew. If it ends before it reaches the worker, and the registry drops the worker, nothing tells the one after that, which waits for ordinary leases.

Change: what the registry shows of an inherited worker marks it at once, and the mark is stored. unit_scheduler restarts/owners_pass_on_a_restart_that_the_ registry_shows_no_longer failed before ("twice at once").

--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -111,6 +111,9 @@
 /// The incarnation by whose clock this owner gives leases, as the roster names
 /// it.
 std::int64_t rosterIncarnation(const Worker &W);
+/// Records what the registry shows of a worker that an earlier owner may have
+/// given leases to. The roster passes it on: the registry may drop the worker.
+void recordRegistered(State &State, const WorkerInfo &Info);
 /// When the last lease that an earlier owner gave to the worker expires, as
 /// far as is known without an answer of the worker. In the past if there is
 /// none.
--- a/packages/scheduler/src/incarnations.cpp
+++ b/packages/scheduler/src/incarnations.cpp
@@ -97,16 +97,21 @@
   return W.RunsKnown_ ? W.Known_.StartedUnixMs_ : W.Info_.StartedUnixMs_;
 }
 
+void recordRegistered(State &State, const WorkerInfo &Info) {
+  auto It = State.Inherited_.find(Info.Id_);
+  if (It == State.Inherited_.end() || It->second.Misread_ ||
+      !mayHoldMisreadLease(It->second, Info.StartedUnixMs_))
+    return;
+  It->second.Misread_ = true;
+  State.RosterDirty_ = true;
+}
+
 TimePoint inheritedLeasesEnd(const State &State, const WorkerId &Id) {
   auto Inherited = State.Inherited_.find(Id);
   if (Inherited == State.Inherited_.end())
     return {};
   const Options &O = State.Options_;
-  auto Present = State.Workers_.find(Id);
-  std::int64_t Started = Present == State.Workers_.end()
-                             ? 0
-                             : Present->second.Info_.StartedUnixMs_;
-  return mayHoldMisreadLease(Inherited->second, Started)
+  return Inherited->second.Misread_
              ? std::max(O.InheritedLeasesEndAt_, O.MisreadLeasesEndAt_)
              : O.InheritedLeasesEndAt_;
 }
--- a/packages/scheduler/src/workers.cpp
+++ b/packages/scheduler/src/workers.cpp
@@ -164,6 +164,7 @@
   if (W.RunsKnown_ && Info.StartedUnixMs_ > W.Known_.StartedUnixMs_ &&
       Info.StartedUnixMs_ != W.Info_.StartedUnixMs_)
     detail::extendMisreadLease(State, W, Now);
+  detail::recordRegistered(State, Info);
   W.Info_ = Info;
   W.InRegistry_ = true;
   if (New || Replaced)
--- a/packages/scheduler/tests/unit-restarts.cpp
+++ b/packages/scheduler/tests/unit-restarts.cpp
@@ -306,6 +306,21 @@
   C.assertRulesKept();
 }
 
+// Guards against TWICE: the same once the registry has dropped the worker. What
+// it had shown was known to the owner in between only.
+Test(restarts, owners_pass_on_a_restart_that_the_registry_shows_no_longer) {
+  MisreadLeaseCell C(Milliseconds(50));
+  C.killOwner();
+  C.cutOff("a", Milliseconds(500));
+  C.run(Milliseconds(300));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.run(Milliseconds(300));
+  C.killOwner();
+  C.run(Milliseconds(300));
+  C.takeOver(ownership::Predecessor::Ended);
+  C.assertRulesKept();
+}
+
 // Guards against TWICE (issue 52): the worker answers the next owner before it
 // is cut off. An answer tells nothing of how long a lease lasts that was given
 // before it.
