Scheduler: how long a lease by a former clock lasts is passed on, not only that

What callers saw: accepted tasks waited, with room for them, for an owner's inheritance to be settled: 8.8 to 10.6 s after its claim, though the lease in question had ended before.

Cause: the roster said that a restarted worker may hold the longest lease, not until when. So each owner that did not reach the worker counted 10.6 s anew, and a mark stayed in the roster after its lease had ended. An owner that had stored no roster, and so had given no lease, was waited for as well.

Change: the roster says how many milliseconds are left of each such lease, and a later owner counts them from when it read the record. If the roster is of an owner before the predecessor, only that one's leases count.

Tests, failing before: unit_scheduler restarts/later_owners_count_a_passed_on_ lease_from_when_it_was_given, unit_ownership former_owners/an_owner_without_a_ roster_gave_no_lease.

--- a/apps/pollenvale/fleet/job_copies.cpp
+++ b/apps/pollenvale/fleet/job_copies.cpp
@@ -1,5 +1,7 @@
 #include "fleet/job_copies.hpp"
 
+#include "fleet/clock.hpp"
+
 namespace pollenvale::fleet {
 
 namespace {
@@ -27,7 +29,7 @@
   intake::PartitionCopy &Copy = It->second;
   FollowerEvents Events;
   Events.OnRecord_ = [this, Partition, &Copy](const ledger::KeyedRecord &R) {
-    ledger::Change Change = ledger::apply(Copy.Replica_, R);
+    ledger::Change Change = ledger::apply(Copy.Replica_, R, now());
     if (Change.Kind_ != ledger::Change::Kind::None)
       Events_.OnChange_(Partition, Change);
   };
--- a/apps/pollenvale/fleet/slice_owner.cpp
+++ b/apps/pollenvale/fleet/slice_owner.cpp
@@ -85,7 +85,7 @@
 void SliceOwner::setInheritedLeasesEnd(scheduler::Options &O) const {
   auto End = [this](Milliseconds Longest, Milliseconds AfterFence) {
     return ownership::inheritedLeasesEnd(
-        Claim_, InheritedRoster_,
+        Claim_, InheritedRoster_.Roster_,
         {Longest + LeaseMargin, AfterFence + LeaseMargin}, SelfFence_);
   };
   Milliseconds Misread = scheduler::longestOnClock(O.MaxLease_);
--- a/apps/pollenvale/fleet/slice_owner.hpp
+++ b/apps/pollenvale/fleet/slice_owner.hpp
@@ -117,7 +117,7 @@
   SliceContext Context_;
   ownership::SliceName Slice_;
   ownership::OwnedSlice Claim_;
-  ledger::Roster InheritedRoster_; ///< As read when scheduling began.
+  ledger::ReplicatedRoster InheritedRoster_; ///< As read when scheduling began.
   Milliseconds SelfFence_;
   observe::LineLimit LogLimit_;
   Stage Stage_ = Stage::Fencing;
--- a/apps/pollenvale/tests/unit-served-services.cpp
+++ b/apps/pollenvale/tests/unit-served-services.cpp
@@ -54,7 +54,7 @@
   }
   void apply(const ServiceName &Service, const ledger::KeyedRecord &R) {
     std::uint32_t Partition = intake::partitionOf(Service, TopicPartitions);
-    ledger::apply(Copies_.Partitions_[Partition].Replica_, R);
+    ledger::apply(Copies_.Partitions_[Partition].Replica_, R, {});
   }
   bool serves(const ServiceName &Service) {
     Services_.update(Catalog_, Claims_, Copies_);
--- a/packages/intake/tests/unit-intake.cpp
+++ b/packages/intake/tests/unit-intake.cpp
@@ -56,7 +56,7 @@
     Store_.Delivers_ = [this](const ledger::AppendCall &Call) {
       auto &Copy = Intake_.Partitions_[Call.Partition_.Number_].Replica_;
       for (const ledger::KeyedRecord &R : Call.Records_)
-        ledger::apply(Copy, R);
+        ledger::apply(Copy, R, {});
     };
     read();
   }
@@ -65,7 +65,7 @@
   void read(const std::vector<ledger::KeyedRecord> &Records = {}) {
     PartitionCopy &Copy = Intake_.Partitions_[Partition_];
     for (const ledger::KeyedRecord &R : Records)
-      ledger::apply(Copy.Replica_, R);
+      ledger::apply(Copy.Replica_, R, {});
     Now_ += Milliseconds(2);
     Copy.Tail_.Reachable_ = true;
     Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
--- a/packages/intake/tests/unit-moved-queue.cpp
+++ b/packages/intake/tests/unit-moved-queue.cpp
@@ -64,7 +64,7 @@
     PartitionCopy &Copy = Intake_.Partitions_.at(Number);
     Now_ += Milliseconds(2);
     for (; Copy.Tail_.Next_ < Records.size(); ++Copy.Tail_.Next_)
-      ledger::apply(Copy.Replica_, Records[Copy.Tail_.Next_]);
+      ledger::apply(Copy.Replica_, Records[Copy.Tail_.Next_], {});
     Copy.Tail_.Reachable_ = true;
     Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
     onCopyUpdated(Intake_, Now_);
@@ -123,7 +123,7 @@
       ledger::Replica Copy;
       for (const KeyedRecord &R :
            Log_.Records_[partitionOf(Service, Partitions)])
-        ledger::apply(Copy, R);
+        ledger::apply(Copy, R, {});
       if (Copy.Jobs_.count(Job))
         Out.push_back(Service);
     }
--- a/packages/intake/tests/unit-stop.cpp
+++ b/packages/intake/tests/unit-stop.cpp
@@ -53,7 +53,7 @@
     std::uint32_t Partition = partitionOf("s", Intake_.TopicPartitions_);
     PartitionCopy &Copy = Intake_.Partitions_[Partition];
     for (const ledger::KeyedRecord &R : Records)
-      ledger::apply(Copy.Replica_, R);
+      ledger::apply(Copy.Replica_, R, {});
     Now_ += Milliseconds(2);
     Copy.Tail_.Reachable_ = true;
     Copy.Tail_.AnsweredAt_ = Copy.Tail_.CurrentAt_ = Now_;
@@ -141,7 +141,7 @@
   F.submit("stored");
   F.Store_.answer(StoreStatus::Unknown);
   ledger::apply(F.Intake_.Partitions_.begin()->second.Replica_,
-                F.record("stored"));
+                F.record("stored"), {});
   stop(F.Intake_);
   cr_assert(F.answerTo("stored").Outcome_ == Outcome::Stored);
 }
--- a/packages/ledger/detail/record.hpp
+++ b/packages/ledger/detail/record.hpp
@@ -32,7 +32,11 @@
   /// Workers that may hold a lease by the clock of a former incarnation, which
   /// lasts longer than those that an owner gives.
   std::vector<WorkerId> MisreadLeases_;
-  MSGPACK_DEFINE(Workers_, Claim_, Settled_, Incarnations_, MisreadLeases_)
+  /// For each of MisreadLeases_ how long such a lease lasts at most, in ms from
+  /// when the record was made. Empty in records of an earlier build.
+  std::vector<std::int64_t> MisreadLeftMs_;
+  MSGPACK_DEFINE(Workers_, Claim_, Settled_, Incarnations_, MisreadLeases_,
+                 MisreadLeftMs_)
 };
 
 enum class RecordKind {
--- a/packages/ledger/detail/replica.hpp
+++ b/packages/ledger/detail/replica.hpp
@@ -35,6 +35,12 @@
   Offset Offset_ = 0;
 };
 
+/// The newest roster of a slice.
+struct ReplicatedRoster {
+  Roster Roster_;
+  TimePoint ReadAt_{}; ///< When it was applied; it was made before.
+};
+
 /// Jobs and rosters of one partition.
 struct Replica {
   std::map<JobId, ReplicatedJob> Jobs_;
@@ -47,7 +53,7 @@
   /// Jobs of which only a cancellation or progress has been read so far: a load
   /// reads records in the order of their keys.
   std::map<JobId, ReplicatedJob> EarlyJobs_;
-  std::map<std::string, Roster> Rosters_; ///< By slice.
+  std::map<std::string, ReplicatedRoster> Rosters_; ///< By slice.
   std::uint64_t UnreadableRecords_ = 0; ///< Records that could not be decoded.
 };
 
@@ -72,8 +78,9 @@
   std::uint64_t Claim_ = 0;
 };
 
-/// Applies \p R. Applying a record again changes nothing.
-Change apply(Replica &Copy, const KeyedRecord &R);
+/// Applies \p R, which was read at \p Now. Applying a record again changes
+/// nothing but ReplicatedRoster::ReadAt_.
+Change apply(Replica &Copy, const KeyedRecord &R, TimePoint Now);
 
 /// To be called before a load applies the newest record of each key. Lets these
 /// replace any progress, even one applied at a larger offset: the store may
--- a/packages/ledger/src/replica.cpp
+++ b/packages/ledger/src/replica.cpp
@@ -99,7 +99,7 @@
 
 } // namespace
 
-Change apply(Replica &Copy, const KeyedRecord &R) {
+Change apply(Replica &Copy, const KeyedRecord &R, TimePoint Now) {
   RecordName Name = nameOf(R.Key_);
   if (R.Value_.empty() && Name.Kind_ == RecordKind::Occurrence) {
     removeOccurrence(Copy, Name);
@@ -129,7 +129,7 @@
     return {};
   case RecordKind::Roster:
     if (auto Roster = parseRoster(R.Value_))
-      Copy.Rosters_[Name.Slice_] = std::move(*Roster);
+      Copy.Rosters_[Name.Slice_] = {std::move(*Roster), Now};
     else
       ++Copy.UnreadableRecords_;
     return {};
--- a/packages/ownership/src/predecessors.cpp
+++ b/packages/ownership/src/predecessors.cpp
@@ -105,31 +105,47 @@
   return Names[std::size_t(P)];
 }
 
+namespace {
+
+/// When the leases have ended of an owner that sent its last order at that time
+/// or earlier.
+TimePoint leasesEnd(TimePoint LastOrder, std::optional<TimePoint> FencedBy,
+                    const LeaseLimits &Limits) {
+  if (!FencedBy)
+    return LastOrder + Limits.Longest_;
+  return std::min(std::min(LastOrder, *FencedBy) + Limits.Longest_,
+                  *FencedBy + Limits.AfterFence_);
+}
+
+/// The same for the owners before the predecessor.
+TimePoint earlierLeasesEnd(const OwnedSlice &Own, const LeaseLimits &Limits,
+                           Milliseconds SelfFence) {
+  bool Seen = Own.PredecessorSeenAt_ != TimePoint{};
+  TimePoint Claimed =
+      Seen ? std::min(Own.PredecessorSeenAt_, Own.ClaimedAt_) : Own.ClaimedAt_;
+  return leasesEnd(Claimed + SelfFence, Own.EarlierFencedBy_, Limits);
+}
+
+} // namespace
+
 TimePoint inheritedLeasesEnd(const OwnedSlice &Own,
                              const ledger::Roster &Roster,
                              const LeaseLimits &Limits,
                              Milliseconds SelfFence) {
-  // Leases of an owner that sent its last order at that time or earlier.
-  auto LeasesEnd = [&](TimePoint LastOrder, std::optional<TimePoint> FencedBy) {
-    if (!FencedBy)
-      return LastOrder + Limits.Longest_;
-    return std::min(std::min(LastOrder, *FencedBy) + Limits.Longest_,
-                    *FencedBy + Limits.AfterFence_);
-  };
+  // Without a stored roster, the predecessor has given no lease.
+  if (Roster.Claim_ != 0 && Roster.Claim_ < Own.PredecessorClaim_)
+    return earlierLeasesEnd(Own, Limits, SelfFence);
   TimePoint LastOrder = Own.ClaimedAt_;
   if (Own.Predecessor_ == Predecessor::MayRun)
     LastOrder += SelfFence;
   if (Own.PredecessorEndedBy_)
     LastOrder = std::min(LastOrder, *Own.PredecessorEndedBy_);
-  TimePoint End = LeasesEnd(LastOrder, Own.PredecessorFencedBy_);
+  TimePoint End = leasesEnd(LastOrder, Own.PredecessorFencedBy_, Limits);
   // The predecessor's roster shows that leases of the owners before it have
   // ended only if it knew where every task of those owners was.
   if (Roster.Settled_ && Roster.Claim_ == Own.PredecessorClaim_)
     return End;
-  bool Seen = Own.PredecessorSeenAt_ != TimePoint{};
-  TimePoint Claimed =
-      Seen ? std::min(Own.PredecessorSeenAt_, Own.ClaimedAt_) : Own.ClaimedAt_;
-  return std::max(End, LeasesEnd(Claimed + SelfFence, Own.EarlierFencedBy_));
+  return std::max(End, earlierLeasesEnd(Own, Limits, SelfFence));
 }
 
 } // namespace pollenvale::ownership
--- a/packages/ownership/tests/unit-former-owners.cpp
+++ b/packages/ownership/tests/unit-former-owners.cpp
@@ -219,6 +219,21 @@
   cr_assert(End(Unsettled) == *Own.EarlierFencedBy_ + AfterFence);
 }
 
+// Guards against LOST: an owner that stored no roster has given no lease, but
+// each of several such owners in a row prolonged the wait.
+Test(former_owners, an_owner_without_a_roster_gave_no_lease) {
+  constexpr Milliseconds SelfFence{4'000};
+  TimePoint Claimed{std::chrono::seconds(50)};
+  OwnedSlice Own{9, 3, Predecessor::MayRun, 7, Claimed};
+  Own.PredecessorFencedBy_ = Claimed + Milliseconds(3'000);
+  Own.EarlierFencedBy_ = Claimed - Milliseconds(1'000);
+  auto End = [&](const ledger::Roster &R) {
+    return inheritedLeasesEnd(Own, R, {Lease, Lease}, SelfFence);
+  };
+  cr_assert(End({{"w"}, 5, true}) == *Own.EarlierFencedBy_ + Lease);
+  cr_assert(End({{"w"}, 7, true}) == *Own.PredecessorFencedBy_ + Lease);
+}
+
 // Guards against LOST: an owner that is back in contact needs a stored
 // heartbeat before it may order, and its last one may hang in the store.
 Test(former_owners, a_heartbeat_is_sent_as_soon_as_the_store_is_back) {
--- a/packages/scheduler/detail/api.hpp
+++ b/packages/scheduler/detail/api.hpp
@@ -13,7 +13,7 @@
 /// State of a new owner. \p Roster lists the workers on which an earlier owner
 /// may have started tasks.
 State makeState(Options O, const workflow::Catalog &C,
-                const ledger::Roster &Roster);
+                const ledger::ReplicatedRoster &Roster);
 
 /// More is known of earlier owners: their leases end at these times or earlier.
 /// See Options::InheritedLeasesEndAt_ and Options::MisreadLeasesEndAt_.
--- a/packages/scheduler/detail/state.hpp
+++ b/packages/scheduler/detail/state.hpp
@@ -196,8 +196,9 @@
 struct InheritedWorker {
   /// By whose clock its leases were; 0 if unknown.
   std::int64_t Incarnation_ = 0;
-  /// It may hold a lease by the clock of a former incarnation.
-  bool Misread_ = false;
+  /// Until when it may hold a lease by the clock of a former incarnation; empty
+  /// if it holds none.
+  std::optional<TimePoint> MisreadUntil_ = {};
 };
 
 /// Values that stay constant while the owner holds the slice.
--- a/packages/scheduler/detail/tasks.hpp
+++ b/packages/scheduler/detail/tasks.hpp
@@ -123,6 +123,9 @@
 /// Records what the registry shows of a worker that an earlier owner may have
 /// given leases to. The roster passes it on: the registry may drop the worker.
 void recordRegistered(State &State, const WorkerInfo &Info);
+/// Until when an inherited worker may hold a lease by the clock of a former
+/// incarnation; in the past if it holds none.
+TimePoint misreadLeaseEnd(const State &State, const InheritedWorker &Inherited);
 /// When the last lease that an earlier owner gave to the worker expires, as
 /// far as is known without an answer of the worker. In the past if there is
 /// none.
--- a/packages/scheduler/src/incarnations.cpp
+++ b/packages/scheduler/src/incarnations.cpp
@@ -36,13 +36,19 @@
   });
 }
 
-/// Whether an incarnation that began at \p StartedUnixMs may have taken the
-/// deadline of an inherited lease for one on its own clock.
+/// Whether an incarnation that began at \p StartedUnixMs is a later one than
+/// the roster names.
+bool hasRestarted(const InheritedWorker &Inherited,
+                  std::int64_t StartedUnixMs) {
+  return Inherited.Incarnation_ != 0 && StartedUnixMs > Inherited.Incarnation_;
+}
+
+/// Whether it may have taken the deadline of an inherited lease for one on its
+/// own clock.
 bool mayHoldMisreadLease(const InheritedWorker &Inherited,
-                         std::int64_t StartedUnixMs) {
-  bool Restarted =
-      Inherited.Incarnation_ != 0 && StartedUnixMs > Inherited.Incarnation_;
-  return Inherited.Misread_ || Restarted;
+                         std::int64_t StartedUnixMs, TimePoint Now) {
+  bool Marked = Inherited.MisreadUntil_ && Now < *Inherited.MisreadUntil_;
+  return Marked || hasRestarted(Inherited, StartedUnixMs);
 }
 
 /// Assumes that the worker takes a lease by the clock of a former incarnation
@@ -63,7 +69,7 @@
   auto Inherited = State.Inherited_.find(W.Info_.Id_);
   if (Inherited == State.Inherited_.end())
     return;
-  if (mayHoldMisreadLease(Inherited->second, StartedUnixMs))
+  if (mayHoldMisreadLease(Inherited->second, StartedUnixMs, Now))
     return assumeMisreadLease(State, W, Now);
   const Options &O = State.Options_;
   Milliseconds Before = elapsed(Now, O.InheritedLeasesEndAt_);
@@ -136,21 +142,26 @@
 
 void recordRegistered(State &State, const WorkerInfo &Info) {
   auto It = State.Inherited_.find(Info.Id_);
-  if (It == State.Inherited_.end() || It->second.Misread_ ||
-      !mayHoldMisreadLease(It->second, Info.StartedUnixMs_))
+  if (It == State.Inherited_.end() ||
+      !hasRestarted(It->second, Info.StartedUnixMs_))
     return;
-  It->second.Misread_ = true;
+  It->second.Incarnation_ = Info.StartedUnixMs_;
+  It->second.MisreadUntil_ = State.Options_.MisreadLeasesEndAt_;
   State.RosterDirty_ = true;
 }
 
+TimePoint misreadLeaseEnd(const State &State,
+                          const InheritedWorker &Inherited) {
+  return std::min(Inherited.MisreadUntil_.value_or(TimePoint{}),
+                  State.Options_.MisreadLeasesEndAt_);
+}
+
 TimePoint inheritedLeasesEnd(const State &State, const WorkerId &Id) {
   auto Inherited = State.Inherited_.find(Id);
   if (Inherited == State.Inherited_.end())
     return {};
-  const Options &O = State.Options_;
-  return Inherited->second.Misread_
-             ? std::max(O.InheritedLeasesEndAt_, O.MisreadLeasesEndAt_)
-             : O.InheritedLeasesEndAt_;
+  return std::max(State.Options_.InheritedLeasesEndAt_,
+                  misreadLeaseEnd(State, Inherited->second));
 }
 
 TimePoint mayWorkUntil(const State &State, const Worker &W) {
@@ -170,7 +181,7 @@
   bool FormerOwnerMayReach = Inherited != State.Inherited_.end() &&
                              Now < State.Options_.MisreadLeasesEndAt_;
   if (FormerOwnerMayReach) {
-    Inherited->second.Misread_ = true;
+    Inherited->second.MisreadUntil_ = State.Options_.MisreadLeasesEndAt_;
     if (State.InheritancePending_)
       State.UnconfirmedWorkers_.insert(W.Info_.Id_);
   }
--- a/packages/scheduler/src/tick.cpp
+++ b/packages/scheduler/src/tick.cpp
@@ -6,7 +6,8 @@
 namespace pollenvale::scheduler {
 
 State makeState(Options O, const workflow::Catalog &C,
-                const ledger::Roster &Roster) {
+                const ledger::ReplicatedRoster &Inherited) {
+  const ledger::Roster &Roster = Inherited.Roster_;
   State State;
   State.Options_ = std::move(O);
   State.Catalog_ = C;
@@ -17,9 +18,16 @@
     State.Inherited_[Roster.Workers_[I]] = {Named ? Roster.Incarnations_[I]
                                                   : std::int64_t(0)};
   }
-  for (const WorkerId &Id : Roster.MisreadLeases_)
-    if (auto It = State.Inherited_.find(Id); It != State.Inherited_.end())
-      It->second.Misread_ = true;
+  for (std::size_t I = 0; I < Roster.MisreadLeases_.size(); ++I) {
+    auto It = State.Inherited_.find(Roster.MisreadLeases_[I]);
+    if (It == State.Inherited_.end())
+      continue;
+    bool Timed = I < Roster.MisreadLeftMs_.size();
+    It->second.MisreadUntil_ =
+        Timed ? Inherited.ReadAt_ +
+                    longestOnClock(Milliseconds(Roster.MisreadLeftMs_[I]))
+              : TimePoint::max();
+  }
   State.RosterDirty_ = true;
   State.NewestToken_ = State.Options_.Token_;
   return State;
--- a/packages/scheduler/src/writes.cpp
+++ b/packages/scheduler/src/writes.cpp
@@ -179,13 +179,13 @@
 ledger::KeyedRecord makeRosterRecord(const State &State) {
   // Of a worker that has not answered, what the earlier owner knew stands.
   std::map<WorkerId, std::int64_t> All;
-  std::set<WorkerId> Misread;
+  std::map<WorkerId, TimePoint> MisreadUntil;
   for (const auto &[Id, W] : State.Workers_) {
     if (W.Released_)
       continue;
     All[Id] = rosterIncarnation(W);
     if (State.LastTick_ < W.MisreadLeaseEndsAt_)
-      Misread.insert(Id);
+      MisreadUntil[Id] = W.MisreadLeaseEndsAt_;
   }
   for (const WorkerId &Id : State.UnconfirmedWorkers_) {
     const InheritedWorker &Inherited = State.Inherited_.at(Id);
@@ -193,8 +193,9 @@
       All[Id] = Inherited.Incarnation_;
     else
       All.try_emplace(Id, 0);
-    if (Inherited.Misread_)
-      Misread.insert(Id);
+    TimePoint Until = misreadLeaseEnd(State, Inherited);
+    if (State.LastTick_ < Until)
+      MisreadUntil[Id] = Until;
   }
   ledger::Roster Roster;
   Roster.Claim_ = State.Options_.Token_;
@@ -203,7 +204,10 @@
     Roster.Workers_.push_back(Id);
     Roster.Incarnations_.push_back(Incarnation);
   }
-  Roster.MisreadLeases_ = {Misread.begin(), Misread.end()};
+  for (const auto &[Id, Until] : MisreadUntil) {
+    Roster.MisreadLeases_.push_back(Id);
+    Roster.MisreadLeftMs_.push_back(elapsed(State.LastTick_, Until).count());
+  }
   return ledger::makeRoster(State.Options_.Slice_, Roster);
 }
 
--- a/packages/scheduler/tests/unit-repeats.cpp
+++ b/packages/scheduler/tests/unit-repeats.cpp
@@ -137,7 +137,7 @@
   ledger::Replica Copy;
   Copy.Jobs_["j1"].Accepted_ = Row.Accepted_;
   for (const ledger::KeyedRecord &R : Out.Writes_.at(0).Records_)
-    ledger::apply(Copy, R);
+    ledger::apply(Copy, R, {});
   scheduler::State Next = scheduler::makeState({}, {}, {});
   Row = Copy.Jobs_.at("j1");
   Row.Progress_.Open_ = {{1, {}}};
--- a/packages/scheduler/tests/unit-restarts.cpp
+++ b/packages/scheduler/tests/unit-restarts.cpp
@@ -321,6 +321,30 @@
   C.assertRulesKept();
 }
 
+// Guards against LOST: each owner that does not reach the worker counted the
+// longest lease anew from its own claim.
+Test(restarts, later_owners_count_a_passed_on_lease_from_when_it_was_given) {
+  MisreadLeaseCell C(Milliseconds(50));
+  C.killOwner();
+  C.cutOff("a", Milliseconds(500));
+  C.run(Milliseconds(300));
+  C.takeOver(ownership::Predecessor::Ended);
+  TimePoint First =
+      scheduler::detail::inheritedLeasesEnd(C.owner().State_, "a");
+  for (int I = 0; I < 4; ++I) {
+    C.run(Milliseconds(600));
+    C.killOwner();
+    C.run(Milliseconds(1'900));
+    C.takeOver();
+  }
+  constexpr Milliseconds ForDrift{500};
+  const scheduler::State &S = C.owner().State_;
+  TimePoint Ordinary = S.Options_.InheritedLeasesEndAt_;
+  TimePoint Last = scheduler::detail::inheritedLeasesEnd(S, "a");
+  cr_assert_leq(Last, std::max(Ordinary, First + ForDrift));
+  C.assertRulesKept();
+}
+
 // Guards against TWICE (issue 52): the worker answers the next owner before it
 // is cut off. An answer tells nothing of how long a lease lasts that was given
 // before it.
--- a/packages/scheduler/tests/unit-retired.cpp
+++ b/packages/scheduler/tests/unit-retired.cpp
@@ -21,7 +21,7 @@
   C.run(Milliseconds(1'000));
   cr_assert_not(scheduler::hasOpenJobs(S));
   cr_assert(S.Workers_.empty());
-  cr_assert(C.stored().Rosters_.at("s").Workers_.empty());
+  cr_assert(C.stored().Rosters_.at("s").Roster_.Workers_.empty());
   cr_assert(C.Broken_.empty());
 }
 
--- a/tests/fleet/fleet_calls.cpp
+++ b/tests/fleet/fleet_calls.cpp
@@ -207,8 +207,7 @@
     for (ledger::KeyedRecord R : C.Records_) {
       if (ledger::recordBytes(R) > O.State_.Options_.StoreLimits_.RecordBytes_)
         broken("a record that the store refuses " + R.Key_);
-      R.Offset_ = Store_.size();
-      Store_.push_back(std::move(R));
+      append(std::move(R));
     }
     // Writing the records again is idempotent: they hold the whole progress.
     if (Random_.unit() < Failures_.LostAppend_) {
--- a/tests/fleet/fleet_cell.cpp
+++ b/tests/fleet/fleet_cell.cpp
@@ -61,15 +61,17 @@
   Specs_.emplace(Job, Spec);
   ledger::AcceptedJob Record{*workflow::findQueue(Catalog_, Queue), 0,
                              std::move(Spec)};
-  auto R = ledger::makeJob(Job, Record);
+  append(ledger::makeJob(Job, Record));
+}
+
+void FleetCell::append(ledger::KeyedRecord R) {
   R.Offset_ = Store_.size();
   Store_.push_back(std::move(R));
+  StoredAt_.push_back(Now_);
 }
 
 void FleetCell::cancel(const JobId &Job) {
-  auto R = ledger::makeCancel(Job);
-  R.Offset_ = Store_.size();
-  Store_.push_back(std::move(R));
+  append(ledger::makeCancel(Job));
   CancelledAt_.emplace(Job, Now_);
 }
 
@@ -166,8 +168,8 @@
   constexpr Milliseconds Margin{400};
   auto End = [&](Milliseconds Longest, Milliseconds AfterFence) {
     return ownership::inheritedLeasesEnd(
-        O.Claim_, O.InheritedRoster_, {Longest + Margin, AfterFence + Margin},
-        SelfFence);
+        O.Claim_, O.InheritedRoster_.Roster_,
+        {Longest + Margin, AfterFence + Margin}, SelfFence);
   };
   Milliseconds Misread = scheduler::longestOnClock(Opt.MaxLease_);
   Opt.InheritedLeasesEndAt_ = End(Opt.OutageLease_, Opt.LeaseAfterFence_);
@@ -195,11 +197,12 @@
   Token Previous = Epoch_;
   O->Token_ = Epoch_ = ++ClaimRecords_;
   O->StoreContactAt_ = O->StoredHeartbeatAt_ = Now_;
-  auto Fence = ledger::makeFence("s", O->Token_);
-  Fence.Offset_ = Store_.size();
-  Store_.push_back(std::move(Fence));
+  append(ledger::makeFence("s", O->Token_));
+  // Most entries have read each record as it was stored.
+  bool Loads = Random_.below(4) == 0;
   for (; O->Read_ < Store_.size(); ++O->Read_)
-    ledger::apply(O->StoreReplica_, Store_[O->Read_]);
+    ledger::apply(O->StoreReplica_, Store_[O->Read_],
+                  Loads ? Now_ : StoredAt_[O->Read_]);
   scheduler::Options Opt;
   Opt.Slice_ = "s";
   Opt.Token_ = O->Token_;
@@ -306,7 +309,7 @@
     return;
   O.StoreContactAt_ = Now_;
   for (; O.Read_ < Store_.size(); ++O.Read_) {
-    ledger::Change C = ledger::apply(O.StoreReplica_, Store_[O.Read_]);
+    ledger::Change C = ledger::apply(O.StoreReplica_, Store_[O.Read_], Now_);
     if (C.Kind_ == ledger::Change::Kind::Fenced && C.Claim_ > O.Token_) {
       O.State_.Fenced_ = true;
       return;
@@ -348,7 +351,7 @@
 ledger::Replica FleetCell::stored() const {
   ledger::Replica Copy;
   for (const ledger::KeyedRecord &R : Store_)
-    ledger::apply(Copy, R);
+    ledger::apply(Copy, R, Now_);
   return Copy;
 }
 
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -32,7 +32,7 @@
   TimePoint StoredHeartbeatAt_{};
   std::optional<scheduler::WriteCall> RepeatedWrite_;
   ownership::OwnedSlice Claim_;
-  ledger::Roster InheritedRoster_;
+  ledger::ReplicatedRoster InheritedRoster_;
   /// Its calls to the policy; a copy of FleetCell::Policy_, if that is set.
   std::optional<advice::Pool> Policy_;
 };
@@ -188,6 +188,7 @@
   void answer(Owner &O, const scheduler::Target &To, TimePoint SentAt,
               bool Answered, std::function<void(bool ReadInTime)> OnAnswer);
   void readStore(Owner &O);
+  void append(ledger::KeyedRecord R);
   /// Lets the newest owner know when the one before it has stopped, as the
   /// heartbeats of the claims topic do.
   void tellOfPredecessor();
@@ -218,7 +219,8 @@
   TaskTraits taskTraits();
 
   std::vector<ledger::KeyedRecord> Store_;
-  Token Epoch_ = 0; ///< Newest claim.
+  std::vector<TimePoint> StoredAt_; ///< Times of the records of Store_.
+  Token Epoch_ = 0;                 ///< Newest claim.
   /// Number of records of the claims topic: claims and heartbeats of owners.
   Token ClaimRecords_ = 0;
   std::vector<Event> Events_;
--- a/tests/formats/unit-answers.cpp
+++ b/tests/formats/unit-answers.cpp
@@ -54,7 +54,8 @@
     ledger::apply(
         Copy.Replica_,
         ledger::makeJob("00000000000000a1",
-                        {Catalog_.Queues_[0], 0, {"", {{}}, 0, 0, 0}}));
+                        {Catalog_.Queues_[0], 0, {"", {{}}, 0, 0, 0}}),
+        {});
   }
 
   void call(const std::string &Method, const std::string &Path,
--- a/tests/formats/unit-records.cpp
+++ b/tests/formats/unit-records.cpp
@@ -48,7 +48,7 @@
              makeOccurrence("j1", {7, {{{true, false}, {{1, {2, 5}}}}}})),
       sample("occurrence removal", makeOccurrenceRemoval("j1", 7)),
       sample("roster",
-             makeRoster("s", {{"w1", "w2"}, 9, true, {11, 12}, {"w2"}})),
+             makeRoster("s", {{"w1", "w2"}, 9, true, {11, 12}, {"w2"}, {7}})),
       sample("fence", makeFence("s", 300)),
       sample("closed queue", makeClosedQueue("q", 300)),
   };
