Tests: a start after an end that nobody acknowledged is no broken rule

The check "started after done" of the fleet's schedules was stricter than the users' rule: TWICE is "a start after a run has ended `done`, if that end is taken note of then or later", and "an end is taken note of when `ackCursor` reaches it".

The check now asks whether an end of the task, or of its gang, was acknowledged. A second one is new: an end that is acknowledged though a run of the task has begun since (unless the lease lapsed in between, as the rule says).

--- a/tests/fleet/fake_worker.cpp
+++ b/tests/fleet/fake_worker.cpp
@@ -146,8 +146,11 @@
   for (const EndedTask &E : W.Ends_)
     if (E.Number_ <= C.AckedEnd_ && E.Number_ > W.ListedEnd_)
       W.LostEnds_.push_back(E);
-  std::erase_if(W.Ends_,
-                [&](const EndedTask &E) { return E.Number_ <= C.AckedEnd_; });
+  std::erase_if(W.Ends_, [&](const EndedTask &E) {
+    if (E.Number_ <= C.AckedEnd_)
+      W.AckedEnds_.push_back(E);
+    return E.Number_ <= C.AckedEnd_;
+  });
   auto Listed = std::min(W.Ends_.size(), MaxEndsListed);
   if (Listed > 0)
     W.ListedEnd_ = std::max(W.ListedEnd_, W.Ends_[Listed - 1].Number_);
--- a/tests/fleet/fake_worker.hpp
+++ b/tests/fleet/fake_worker.hpp
@@ -50,6 +50,7 @@
   std::uint64_t ListedEnd_ = 0; ///< Highest end that a list has contained.
   /// Ends that were acknowledged before any list contained them.
   std::vector<EndedTask> LostEnds_;
+  std::vector<EndedTask> AckedEnds_; ///< Acknowledged since last checked.
   std::map<std::uint64_t, TimePoint>
       EndedAt_;               ///< Time of each end, by its number.
   TimePoint LeaseLapsedAt_{}; ///< When its leases last expired.
--- a/tests/fleet/fleet_cell.hpp
+++ b/tests/fleet/fleet_cell.hpp
@@ -198,6 +198,10 @@
   /// Last contact with the store of the owner that sends orders with \p T.
   TimePoint contactOf(Token T) const;
   void checkStart(const scheduler::StartCall &C);
+  /// Records ends that a worker was told to forget.
+  void recordAckedEnds(FakeWorker &W);
+  /// True if an end of the task as done, or of its gang, was acknowledged.
+  bool isEndAcked(const TaskId &Id);
   /// True if a worker that has not restarted since reported the task as done.
   bool isEndReported(const TaskId &Id) const;
   /// Records the ends that the worker reports to \p O in \p Reply.
@@ -230,6 +234,7 @@
   std::map<JobId, workflow::WorkflowSpec> Specs_;
   std::map<JobId, TimePoint> CancelledAt_;
   std::map<TaskId, ReportedEnd> ReportedEnds_;
+  std::set<TaskId> AckedEnds_; ///< Tasks with an acknowledged end as done.
   std::map<TaskId, TimePoint> LastStart_;
   std::uint64_t NextStart_ = 1;
 };
--- a/tests/fleet/fleet_checks.cpp
+++ b/tests/fleet/fleet_checks.cpp
@@ -2,6 +2,8 @@
 /// The invariants of a FleetCell.
 #include "fleet/fleet_cell.hpp"
 
+#include <algorithm>
+
 namespace pollenvale::fleettest {
 
 namespace {
@@ -54,7 +56,9 @@
         C.Task_.Step_.Step_ >= O.Steps_.size())
       continue;
     const workflow::StepProgress &P = O.Steps_[C.Task_.Step_.Step_];
-    if (P.Done_[C.Task_.Index_])
+    // A start in flight when the task's end became known may still be executed:
+    // then the end is not acknowledged.
+    if (P.Done_[C.Task_.Index_] && isEndAcked(C.Task_))
       broken("started after done " + Name);
     for (const workflow::TaskFailures &F : P.Failures_)
       if (F.Index_ == C.Task_.Index_ &&
@@ -63,6 +67,27 @@
   }
 }
 
+void FleetCell::recordAckedEnds(FakeWorker &W) {
+  for (const EndedTask &End : std::exchange(W.AckedEnds_, {})) {
+    auto EndedAt = W.EndedAt_.find(End.Number_);
+    if (End.Kind_ != EndKind::Done || EndedAt == W.EndedAt_.end() ||
+        W.LeaseLapsedAt_ > EndedAt->second)
+      continue;
+    AckedEnds_.insert(End.Task_);
+    if (LastStart_[End.Task_] > EndedAt->second)
+      broken("started after its end, which is acknowledged " +
+             workflow::toString(End.Task_));
+  }
+}
+
+bool FleetCell::isEndAcked(const TaskId &Id) {
+  if (!taskTraits().IsGang_(Id))
+    return AckedEnds_.count(Id) > 0;
+  return std::any_of(
+      AckedEnds_.begin(), AckedEnds_.end(),
+      [&](const TaskId &Each) { return Each.Step_ == Id.Step_; });
+}
+
 bool FleetCell::isEndReported(const TaskId &Id) const {
   auto It = ReportedEnds_.find(Id);
   return It != ReportedEnds_.end() &&
@@ -143,6 +168,7 @@
     if (!W.Alive_)
       continue;
     advance(W, Now_);
+    recordAckedEnds(W);
     Resources Used;
     for (const auto &[Task, R] : W.Runs_)
       Used += R.Size_;
